Add hollowpaddle, the balancer on real sockets

The new program hosts it on sockets: hyper on both sides, one thread, one engine that owns the module. The reading of the settings moves to the library, src/settings.rs, and both programs use it.

--- /dev/null
+++ b/src/bin/hollowpaddle/config.rs
@@ -0,0 +1,106 @@
+//! What the platform tells a balancer: four environment variables and a JSON file.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use shorepick::settings::Facts;
+
+use crate::discovery::List;
+
+/// Descriptors that are neither a client's nor an upstream's: standard streams, the event queue, the
+/// listener, the watch, signals.
+const RESERVED: usize = 24;
+/// Where the platform states no limit.
+const SOCKETS: usize = 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("LB_CONFIG is not set")]
+    NoFile,
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::Error),
+    #[error("{path}: field `{field}`: {cause}")]
+    Malformed { path: String, field: String, cause: String },
+    #[error("{name} is not an address: {value:?}")]
+    BadAddress { name: &'static str, value: String },
+    #[error("the limit of {0} sockets leaves no room to serve")]
+    TooFewSockets(usize),
+}
+
+/// The file; what it holds beyond this is for others.
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    listen: String,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    seed: Option<String>,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
+    known: List,
+    settings: Facts,
+}
+
+#[derive(Deserialize, Default)]
+struct FileLimits {
+    sockets: Option<usize>,
+}
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub known: List,
+    pub facts: Facts,
+}
+
+/// How many connections each side may have.
+pub struct Budget {
+    pub clients: usize,
+    pub upstreams: usize,
+}
+
+impl Config {
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
+        let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        let mut reader = serde_json::Deserializer::from_slice(&text);
+        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+            let field = e.path().to_string();
+            ConfigError::Malformed { path, field, cause: e.into_inner().to_string() }
+        })?;
+        // The environment and the file say the same; the environment is the platform's first word.
+        let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
+        let address = |name: &'static str, file: String| {
+            let value = say(name, file);
+            value.parse().map_err(|_| ConfigError::BadAddress { name, value })
+        };
+        let sockets = file.limits.sockets.unwrap_or(SOCKETS);
+        if sockets < 4 * RESERVED {
+            return Err(ConfigError::TooFewSockets(sockets));
+        }
+        let seed = file.seed.unwrap_or_default();
+        Ok(Self {
+            name: say("LB_NAME", file.name),
+            listen: address("LB_LISTEN", file.listen)?,
+            discovery: address("LB_DISCOVERY", file.discovery)?,
+            seed: shorepick::settings::key_hash(&seed),
+            sockets,
+            known: file.known,
+            facts: file.settings,
+        })
+    }
+
+    /// Half the descriptors for each side. Every attempt belongs to a client's request, so while clients
+    /// keep to their half, upstreams can never need more than theirs.
+    pub fn budget(&self) -> Budget {
+        let half = (self.sockets - RESERVED) / 2;
+        Budget { clients: half, upstreams: half }
+    }
+}
--- /dev/null
+++ b/src/bin/hollowpaddle/engine.rs
@@ -0,0 +1,556 @@
+//! Owns the decision module, the table of requests and the timers. Feeds the module every event in the
+//! order it came, and carries out its actions in the order it gave them. Decides nothing.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use hyper::Response;
+use rustc_hash::FxHashMap;
+use shorepick::interface as d;
+use shorepick::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
+use shorepick::policy::Balancer;
+use shorepick::settings::stable_hash;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use crate::config::Config;
+use crate::discovery::{self, Entry, List, Phase};
+use crate::upstreams::{AbortOnDrop, Ended, Forward, Pool, Target};
+
+/// The module works to this much less than the client's deadline, so that an answer at the deadline still
+/// arrives: the way to the client, and a busy moment here.
+const HEADROOM: Duration = Duration::from_millis(15);
+/// At this much less the engine answers itself, should the module still owe one.
+const BACKSTOP: Duration = Duration::from_millis(5);
+/// Sends to an upstream that drains end this much before the grace does.
+const DRAIN_MARGIN: Duration = Duration::from_millis(100);
+/// Wait before a pushed list is watched again; the agent is on this machine and answers at no cost.
+const REWATCH: Duration = Duration::from_millis(500);
+
+/// What the engine is told.
+pub enum Note {
+    Arrived { id: RequestId, arrival: Arrival, forward: Forward, reply: oneshot::Sender<Reply> },
+    Left(RequestId),
+    Ended { id: RequestId, attempt: usize, ended: Ended },
+    Listed { serial: u64, list: List },
+    WatchEnded { serial: u64 },
+}
+
+/// A request as the module needs to know it.
+pub struct Arrival {
+    pub class: usize,
+    pub tenant: usize,
+    pub key: Option<u64>,
+    /// When the client gives up.
+    pub until: Instant,
+    pub cost_guess: Option<Span>,
+    pub resent: bool,
+}
+
+/// The one final answer.
+pub enum Reply {
+    Served(Response<Bytes>),
+    Refused { retry_after: Span },
+    Failed { late: bool },
+}
+
+/// The engine as clients' connections see it.
+pub struct Handle {
+    notes: mpsc::UnboundedSender<Note>,
+    next: Cell<u64>,
+    ready: Rc<Cell<bool>>,
+}
+
+impl Handle {
+    /// Whether there is anywhere to send to.
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
+    pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
+        let id = RequestId(self.next.replace(self.next.get() + 1));
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Arrived { id, arrival, forward, reply });
+        let mut leaving = Leaving { id, notes: Some(&self.notes) };
+        let answer = answer.await;
+        leaving.notes = None;
+        answer.unwrap_or(Reply::Failed { late: false })
+    }
+}
+
+/// Tells of a client that went away before its answer.
+struct Leaving<'a> {
+    id: RequestId,
+    notes: Option<&'a mpsc::UnboundedSender<Note>>,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if let Some(notes) = self.notes {
+            let _ = notes.send(Note::Left(self.id));
+        }
+    }
+}
+
+/// A request that is owed an answer, or has attempts out.
+struct Held {
+    forward: Rc<Forward>,
+    /// Taken by the final answer.
+    reply: Option<oneshot::Sender<Reply>>,
+    /// Read by attempts right before they go on the wire.
+    live: Rc<Cell<bool>>,
+    until: Instant,
+    attempts: Vec<Try>,
+    last: Option<Outcome>,
+}
+
+struct Try {
+    server: ServerId,
+    sent: Instant,
+    /// Present while it is out; dropping it closes its connection.
+    task: Option<AbortOnDrop>,
+}
+
+impl Held {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.task.is_some()).count()
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Token(u64),
+    Deadline(RequestId),
+    Watch,
+}
+
+/// An event of the engine's own making, told once the present actions are carried out.
+type Later = (RequestId, usize, Ended);
+
+pub struct Engine {
+    balancer: Balancer,
+    clock: Clock,
+    notes: mpsc::UnboundedReceiver<Note>,
+    own_notes: mpsc::UnboundedSender<Note>,
+    requests: FxHashMap<RequestId, Held>,
+    timers: BinaryHeap<Reverse<(Instant, Due)>>,
+    actions: Vec<Action>,
+    later: VecDeque<Later>,
+    pool: Rc<Pool>,
+    upstreams: Upstreams,
+    ready: Rc<Cell<bool>>,
+    discovery: SocketAddr,
+    revision: u64,
+    watch: Option<AbortOnDrop>,
+    watch_serial: u64,
+    must_ask: bool,
+    second_copies: bool,
+    max_attempts: usize,
+}
+
+/// The module's clock: monotonic, and set once to Unix time so that the list's times need no further
+/// mapping.
+#[derive(Clone, Copy)]
+struct Clock {
+    start: Instant,
+    unix_us: i64,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix_us: unix.as_micros() as i64 }
+    }
+    fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+    fn at(&self, instant: Instant) -> Time {
+        Time(self.unix_us + instant.saturating_duration_since(self.start).as_micros() as i64)
+    }
+    fn instant(&self, time: Time) -> Instant {
+        self.start + Duration::from_micros((time.0 - self.unix_us).max(0) as u64)
+    }
+}
+
+impl Engine {
+    pub fn new(config: &Config, pool: Rc<Pool>) -> Result<(Self, Handle), d::SettingsError> {
+        let clock = Clock::new();
+        let settings = config.facts.settings();
+        let (own_notes, notes) = mpsc::unbounded_channel();
+        let ready = Rc::new(Cell::new(false));
+        let handle = Handle { notes: own_notes.clone(), next: Cell::new(0), ready: ready.clone() };
+        let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
+        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
+        let max_attempts = settings.limits.max_attempts;
+        let mut engine = Self {
+            balancer: Balancer::new(settings, config.seed, clock.now())?,
+            clock,
+            notes,
+            own_notes,
+            requests: FxHashMap::default(),
+            timers: BinaryHeap::new(),
+            actions: Vec::new(),
+            later: VecDeque::new(),
+            pool,
+            upstreams: Upstreams::new(config, grace.saturating_sub(DRAIN_MARGIN)),
+            ready,
+            discovery: config.discovery,
+            revision: 0,
+            watch: None,
+            watch_serial: 0,
+            must_ask,
+            second_copies,
+            max_attempts,
+        };
+        engine.listed(&config.known, ListKind::Restored);
+        if !must_ask {
+            engine.subscribe();
+        }
+        Ok((engine, handle))
+    }
+
+    pub async fn run(mut self) {
+        loop {
+            let due = self.timers.peek().map(|Reverse((at, _))| *at);
+            let sleep = async {
+                match due {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                note = self.notes.recv() => match note {
+                    Some(note) => self.take(note),
+                    None => return,
+                },
+                () = sleep => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(Reverse((at, due))) = self.timers.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.timers.pop();
+            match due {
+                Due::Token(token) => self.tell(Event::Timer(token)),
+                Due::Deadline(id) => self.overdue(id),
+                Due::Watch => self.subscribe(),
+            }
+        }
+    }
+
+    fn take(&mut self, note: Note) {
+        match note {
+            Note::Arrived { id, arrival, forward, reply } => {
+                self.arrived(id, arrival, forward, reply);
+            }
+            Note::Left(id) => {
+                let Some(held) = self.requests.get_mut(&id) else { return };
+                if held.reply.take().is_some() {
+                    held.live.set(false);
+                    self.tell(Event::Left(id));
+                }
+                self.forget(id);
+            }
+            Note::Ended { id, attempt, ended } => {
+                self.ended(id, attempt, ended);
+                self.catch_up();
+            }
+            Note::Listed { serial, list } => {
+                if serial == self.watch_serial {
+                    let whole = list.complete;
+                    self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
+                }
+            }
+            Note::WatchEnded { serial } => {
+                if serial == self.watch_serial {
+                    self.watch = None;
+                    if self.must_ask {
+                        self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
+                    } else {
+                        self.timers.push(Reverse((Instant::now() + REWATCH, Due::Watch)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn arrived(
+        &mut self,
+        id: RequestId,
+        arrival: Arrival,
+        forward: Forward,
+        reply: oneshot::Sender<Reply>,
+    ) {
+        let until = arrival.until - HEADROOM;
+        let held = Held {
+            forward: Rc::new(forward),
+            reply: Some(reply),
+            live: Rc::new(Cell::new(true)),
+            until,
+            attempts: Vec::new(),
+            last: None,
+        };
+        self.requests.insert(id, held);
+        self.timers.push(Reverse((arrival.until - BACKSTOP, Due::Deadline(id))));
+        let request = d::Request {
+            class: arrival.class,
+            tenant: arrival.tenant,
+            key: arrival.key,
+            cost_guess: arrival.cost_guess,
+            resent: arrival.resent,
+            ..d::Request::new(id, arrival.class, self.clock.at(until))
+        };
+        self.tell(Event::Request(request));
+    }
+
+    /// Guards against a request that the module still owes its answer when the client is about to give up.
+    fn overdue(&mut self, id: RequestId) {
+        if self.answer(id, Reply::Failed { late: true }) {
+            tracing::warn!("answered at the deadline");
+            self.tell(Event::Left(id));
+        }
+        self.forget(id);
+    }
+
+    /// Gives the final answer, unless there was one.
+    fn answer(&mut self, id: RequestId, reply: Reply) -> bool {
+        let Some(held) = self.requests.get_mut(&id) else { return false };
+        let Some(sender) = held.reply.take() else { return false };
+        held.live.set(false);
+        let _ = sender.send(reply);
+        true
+    }
+
+    fn ended(&mut self, id: RequestId, attempt: usize, ended: Ended) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let Some(tried) = held.attempts.get_mut(attempt) else { return };
+        tried.task = None;
+        let (server, latency) = (tried.server, tried.sent.elapsed());
+        held.last = Some(ended.outcome);
+        // The first whole answer is the client's; one that comes after the end is dropped.
+        if let Some(response) = ended.response {
+            self.answer(id, Reply::Served(response));
+        }
+        let over = self.requests.get(&id).is_none_or(|h| h.reply.is_none());
+        let answer = d::Answer {
+            report: ended.report,
+            ..d::Answer::new(
+                id,
+                attempt,
+                server,
+                ended.outcome,
+                Span(latency.as_micros() as i64),
+                over,
+            )
+        };
+        self.handle(Event::Answered(answer));
+        self.forget(id);
+    }
+
+    /// Drops a request that is answered and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|h| h.reply.is_none() && h.out() == 0) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn listed(&mut self, list: &List, kind: ListKind) {
+        self.revision = list.revision;
+        let members = self.upstreams.update(list, kind, &self.pool);
+        self.ready.set(self.upstreams.any_open());
+        self.tell(Event::Members { kind, list: &members });
+    }
+
+    fn subscribe(&mut self) {
+        self.watch_serial += 1;
+        let watch = discovery::watch(
+            self.discovery,
+            self.revision,
+            self.must_ask,
+            self.watch_serial,
+            self.own_notes.clone(),
+        );
+        self.watch = Some(AbortOnDrop(tokio::task::spawn_local(watch)));
+    }
+
+    /// Tells the module, and carries out what it says until nothing is left to tell.
+    fn tell(&mut self, event: Event) {
+        self.handle(event);
+        self.catch_up();
+    }
+
+    fn catch_up(&mut self) {
+        while let Some((id, attempt, ended)) = self.later.pop_front() {
+            self.ended(id, attempt, ended);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.balancer.handle(self.clock.now(), event, &mut self.actions);
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Refuse { request, retry_after } => {
+                self.answer(request, Reply::Refused { retry_after });
+                self.forget(request);
+            }
+            Action::Fail { request } => {
+                let last = self.requests.get(&request).and_then(|h| h.last);
+                self.answer(request, Reply::Failed { late: last == Some(Outcome::Timeout) });
+                self.forget(request);
+            }
+            Action::Cancel { request, attempt } => {
+                let held = self.requests.get_mut(&request);
+                let tried = held.and_then(|h| h.attempts.get_mut(attempt));
+                if tried.is_some_and(|t| t.task.take().is_some()) {
+                    self.later.push_back((request, attempt, Ended::bare(Outcome::Cancelled)));
+                }
+            }
+            Action::Arm { token, at } => {
+                self.timers.push(Reverse((self.clock.instant(at), Due::Token(token))));
+            }
+            Action::CloseIdle { server } => self.pool.close_idle(server),
+            Action::Subscribe => self.subscribe(),
+            // Upstreams here take no probes, and the module sends none where that is so.
+            Action::Probe { .. } => {}
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, allow: Span) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let (now, attempt) = (Instant::now(), held.attempts.len());
+        let allowed =
+            if allow.0 > 0 { now + Duration::from_micros(allow.0 as u64) } else { held.until };
+        let until = allowed.min(held.until);
+        let twice = held.out() > 0 && !self.second_copies;
+        let target = self.upstreams.target(server);
+        let mut tried = Try { server, sent: now, task: None };
+        let over = held.reply.is_none() || attempt >= self.max_attempts || now >= until;
+        let (Some(target), false) = (target, over || twice) else {
+            held.attempts.push(tried);
+            self.later.push_back((id, attempt, Ended::bare(Outcome::Moot)));
+            return;
+        };
+        let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
+        let (forward, live) = (held.forward.clone(), held.live.clone());
+        tried.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
+            let ended = pool.attempt(server, &target, &forward, until, || live.get()).await;
+            let _ = notes.send(Note::Ended { id, attempt, ended });
+        })));
+        held.attempts.push(tried);
+    }
+}
+
+/// The upstreams that the list has named, by the module's handle.
+struct Upstreams {
+    ids: FxHashMap<String, ServerId>,
+    targets: Vec<Rc<Target>>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    grace: Duration,
+}
+
+impl Upstreams {
+    fn new(config: &Config, grace: Duration) -> Self {
+        Self {
+            ids: FxHashMap::default(),
+            targets: Vec::new(),
+            zones: config.facts.zones.clone(),
+            kinds: config.facts.machine_types.clone(),
+            grace,
+        }
+    }
+
+    fn target(&self, server: ServerId) -> Option<Rc<Target>> {
+        self.targets.get(server.0 as usize).cloned()
+    }
+
+    fn any_open(&self) -> bool {
+        self.targets.iter().any(|t| t.closed_from.get().is_none())
+    }
+
+    /// Takes in a list and puts it into the module's words.
+    fn update(&mut self, list: &List, kind: ListKind, pool: &Pool) -> Vec<d::Member> {
+        let closed_from = Instant::now() + self.grace;
+        let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
+        if kind != ListKind::Update {
+            // What a whole list leaves out is gone.
+            let named: Vec<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
+            let named: rustc_hash::FxHashSet<&str> = named.into_iter().collect();
+            for (name, id) in &self.ids {
+                if !named.contains(name.as_str()) {
+                    close(&self.targets[id.0 as usize]);
+                }
+            }
+        }
+        let mut members = Vec::with_capacity(list.members.len());
+        for entry in &list.members {
+            let Ok(address) = entry.host_port.parse() else {
+                tracing::warn!(id = entry.id, address = entry.host_port, "no such address");
+                continue;
+            };
+            let id = self.id(entry, address);
+            let target = &self.targets[id.0 as usize];
+            if target.address.replace(address) != address {
+                pool.close_idle(id);
+            }
+            match entry.phase {
+                Phase::Serving => target.closed_from.set(None),
+                Phase::Draining | Phase::Deleted => close(target),
+            }
+            members.push(self.member(id, entry));
+        }
+        members
+    }
+
+    fn id(&mut self, entry: &Entry, address: SocketAddr) -> ServerId {
+        if let Some(id) = self.ids.get(&entry.id) {
+            return *id;
+        }
+        let id = ServerId(self.targets.len() as u32);
+        self.ids.insert(entry.id.clone(), id);
+        let (address, closed_from) = (Cell::new(address), Cell::new(None));
+        self.targets.push(Rc::new(Target { address, closed_from }));
+        id
+    }
+
+    fn member(&self, id: ServerId, entry: &Entry) -> d::Member {
+        // A name that the settings don't have is none of those that they do.
+        let index = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
+        };
+        d::Member {
+            id,
+            identity: stable_hash(&entry.id),
+            zone: index(&self.zones, &entry.locality),
+            kind: index(&self.kinds, &entry.flavor),
+            cell: entry.cell,
+            status: match entry.phase {
+                Phase::Serving => d::Status::Live,
+                Phase::Draining => d::Status::Draining,
+                Phase::Deleted => d::Status::Gone,
+            },
+            weight: entry.size,
+            started: (entry.up_since_ms > 0.0).then_some(Time((entry.up_since_ms * 1000.0) as i64)),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/hollowpaddle/main.rs
@@ -0,0 +1,59 @@
+//! One balancer on real sockets: clients in front, upstreams behind, every decision in the module.
+//!
+//! Everything runs on one thread. The tasks that do I/O tell the [`engine`] what happened and carry out
+//! what it says; only the engine touches the module.
+#![forbid(unsafe_code)]
+
+mod clients;
+mod config;
+mod discovery;
+mod engine;
+mod upstreams;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+use clients::Front;
+use config::Config;
+use engine::Engine;
+use upstreams::Pool;
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("hollowpaddle: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let config = Config::from_env().map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let budget = config.budget();
+    let pool = Pool::new(budget.upstreams, &config);
+    let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
+    tokio::task::spawn_local(engine.run());
+    tracing::info!(name = config.name, listen = %config.listen, "serving");
+    let front = Rc::new(Front::new(&config, handle, budget.clients));
+    front
+        .serve(listener, async move {
+            term.recv().await;
+        })
+        .await;
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -0,0 +1,407 @@
+//! Attempts at upstreams, and the connections kept for them.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
+use shorepick::interface::{Outcome, Report, ServerId};
+use shorepick::settings::Field;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+use crate::clients::BODY_LIMIT;
+use crate::config::Config;
+
+/// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
+/// close would end as a reset, which no unsafe request survives.
+const IDLE_OF_KEEPALIVE: f64 = 0.75;
+/// How often idle connections are looked through.
+const REAP_EVERY: Duration = Duration::from_millis(250);
+/// How long a connection may take to be ready again once its answer is whole.
+const READY: Duration = Duration::from_millis(10);
+
+/// A task that ends with its owner, and closes what it holds.
+pub struct AbortOnDrop(pub JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A client's request as it goes on, the same for each of its attempts.
+pub struct Forward {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// How an attempt ended, and with what.
+pub struct Ended {
+    pub outcome: Outcome,
+    pub report: Report,
+    /// The answer, if it served.
+    pub response: Option<Response<Bytes>>,
+}
+
+impl Ended {
+    pub fn bare(outcome: Outcome) -> Self {
+        Self { outcome, report: Report::default(), response: None }
+    }
+}
+
+/// What may change about an upstream while an attempt waits for its connection.
+#[derive(Debug)]
+pub struct Target {
+    pub address: Cell<SocketAddr>,
+    /// When sends must have ended, since it drains or is gone.
+    pub closed_from: Cell<Option<Instant>>,
+}
+
+/// Bytes handed to the kernel on a connection. What was not handed over cannot have run.
+#[derive(Clone, Default)]
+struct Written(Rc<Cell<u64>>);
+
+/// A stream that counts what is written.
+struct Counted {
+    inner: TokioIo<TcpStream>,
+    written: Written,
+}
+
+impl Read for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let n = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        self.written.0.set(self.written.0.get() + n as u64);
+        Poll::Ready(Ok(n))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let n = ready!(Pin::new(&mut self.inner).poll_write_vectored(cx, bufs))?;
+        self.written.0.set(self.written.0.get() + n as u64);
+        Poll::Ready(Ok(n))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+/// A connection that no attempt is using, or that one attempt is.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    written: Written,
+    address: SocketAddr,
+    idle_since: Instant,
+    _connection: AbortOnDrop,
+}
+
+/// Counts a descriptor for as long as it is open.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The connections to all upstreams, and how to use them.
+pub struct Pool {
+    idle: RefCell<FxHashMap<ServerId, Vec<Link>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    idle_limit: Duration,
+    connect_timeout: Duration,
+    fields: Vec<(String, Field)>,
+}
+
+impl Pool {
+    pub fn new(most: usize, config: &Config) -> Rc<Self> {
+        let limits = &config.facts.policy_limits;
+        let ms = |ms: f64, default: f64| {
+            let ms = if ms > 0.0 && ms < 1e7 { ms } else { default };
+            Duration::from_secs_f64(ms / 1000.0)
+        };
+        let names = &config.facts.stats.names;
+        let pool = Rc::new(Self {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            most,
+            idle_limit: ms(limits.keepalive, 5000.0).mul_f64(IDLE_OF_KEEPALIVE),
+            connect_timeout: ms(limits.connect_timeout, 250.0),
+            fields: names.iter().map(|n| (n.clone(), Field::named(n))).collect(),
+        });
+        let weak = Rc::downgrade(&pool);
+        tokio::task::spawn_local(async move {
+            loop {
+                sleep(REAP_EVERY).await;
+                let Some(pool) = weak.upgrade() else { return };
+                pool.reap();
+            }
+        });
+        pool
+    }
+
+    /// Drops what has idled for too long or was closed from the other side.
+    fn reap(&self) {
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(|l| self.usable(l));
+            !links.is_empty()
+        });
+    }
+
+    fn usable(&self, link: &Link) -> bool {
+        !link.sender.is_closed() && link.idle_since.elapsed() < self.idle_limit
+    }
+
+    /// Drops the idle connections to an upstream.
+    pub fn close_idle(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// The connection used last: the rest can age out.
+    fn take(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&server)?;
+        while let Some(link) = links.pop() {
+            if self.usable(&link) && link.address == address {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn put(&self, server: ServerId, mut link: Link) {
+        link.idle_since = Instant::now();
+        self.idle.borrow_mut().entry(server).or_default().push(link);
+    }
+
+    /// Makes room for one more connection at the cost of the one that has idled longest.
+    fn make_room(&self) -> bool {
+        if self.open.get() < self.most {
+            return true;
+        }
+        let mut idle = self.idle.borrow_mut();
+        // Each stack is in order of age, the oldest first.
+        let oldest = idle
+            .iter()
+            .filter_map(|(server, links)| links.first().map(|l| (l.idle_since, *server)))
+            .min_by_key(|(since, _)| *since);
+        let Some((_, server)) = oldest else { return false };
+        if let Some(links) = idle.get_mut(&server) {
+            drop(links.remove(0));
+        }
+        true
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<Link> {
+        if !self.make_room() {
+            tracing::warn!("no descriptor left for an upstream");
+            return None;
+        }
+        let open = Open::new(&self.open);
+        let connect = timeout(self.connect_timeout, TcpStream::connect(address));
+        let stream = connect.await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let written = Written::default();
+        let io = Counted { inner: TokioIo::new(stream), written: written.clone() };
+        let (sender, connection) = http1::handshake(io).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            let _open = open;
+            let _ = connection.await;
+        });
+        let idle_since = Instant::now();
+        let _connection = AbortOnDrop(task);
+        Some(Link { sender, written, address, idle_since, _connection })
+    }
+
+    /// One attempt: at most one request reaches the wire. `live` is asked right before it does.
+    pub async fn attempt(
+        &self,
+        server: ServerId,
+        target: &Target,
+        forward: &Forward,
+        until: Instant,
+        live: impl Fn() -> bool,
+    ) -> Ended {
+        let mut sent = Sent::default();
+        match timeout_at(until, self.exchange(server, target, forward, until, live, &mut sent))
+            .await
+        {
+            Ok(ended) => ended,
+            // Time ran out before all of it was handed over: it cannot have run.
+            Err(_) if sent.never_whole() => Ended::bare(Outcome::ConnectFailed),
+            Err(_) => Ended::bare(Outcome::Timeout),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        server: ServerId,
+        target: &Target,
+        forward: &Forward,
+        until: Instant,
+        live: impl Fn() -> bool,
+        sent: &mut Sent,
+    ) -> Ended {
+        loop {
+            let address = target.address.get();
+            let pooled = self.take(server, address);
+            let reused = pooled.is_some();
+            let link = match pooled {
+                Some(link) => Some(link),
+                None => self.connect(address).await,
+            };
+            let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
+            // The wait for a connection may outlast the request, or the grace of a drain.
+            let closed = target.closed_from.get().is_some_and(|from| Instant::now() >= from);
+            if closed || !live() {
+                self.put(server, link);
+                return Ended::bare(Outcome::Moot);
+            }
+            let Some(request) = forward.request(until, sent) else {
+                return Ended::bare(Outcome::Moot);
+            };
+            sent.start(&link.written);
+            let answer = match link.sender.send_request(request).await {
+                Ok(answer) => answer,
+                // A kept connection that closed before a byte went out is no attempt yet.
+                Err(_) if reused && sent.untouched() => continue,
+                Err(_) if sent.never_whole() => return Ended::bare(Outcome::ConnectFailed),
+                Err(_) => return Ended::bare(Outcome::Reset),
+            };
+            return self.answer(server, link, answer).await;
+        }
+    }
+
+    /// Reads an answer to its end; only then is it one.
+    async fn answer(
+        &self,
+        server: ServerId,
+        mut link: Link,
+        answer: Response<hyper::body::Incoming>,
+    ) -> Ended {
+        let (head, body) = answer.into_parts();
+        let report = self.report(&head.headers);
+        let body = match Limited::new(body, BODY_LIMIT).collect().await {
+            Ok(body) => body.to_bytes(),
+            // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
+            Err(_) => return Ended { report, ..Ended::bare(Outcome::Reset) },
+        };
+        if let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
+            self.put(server, link);
+        }
+        let not_run = head.headers.get("x-not-run").is_some_and(|v| v == "1");
+        let outcome = match head.status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => {
+                Outcome::Full
+            }
+            _ => Outcome::Error,
+        };
+        let response = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
+        Ended { outcome, report, response }
+    }
+
+    /// `X-Load: TEXT name=value, name=value`; what is not understood is left out.
+    fn report(&self, headers: &HeaderMap) -> Report {
+        let mut report = Report::default();
+        let text = headers.get("x-load").and_then(|v| v.to_str().ok());
+        let Some(text) = text.and_then(|t| t.trim().strip_prefix("TEXT")) else { return report };
+        for pair in text.split(',') {
+            let Some((name, value)) = pair.split_once('=') else { continue };
+            let Ok(value) = value.trim().parse::<f64>() else { continue };
+            let known = self.fields.iter().find(|(n, _)| n == name.trim());
+            if let Some((_, field)) = known.filter(|_| value.is_finite()) {
+                field.set(&mut report, value);
+            }
+        }
+        report
+    }
+}
+
+/// How much of a request was handed to the kernel.
+#[derive(Default)]
+struct Sent {
+    written: Option<(Written, u64)>,
+    /// It has this many bytes at least.
+    size: u64,
+}
+
+impl Sent {
+    fn start(&mut self, written: &Written) {
+        self.written = Some((written.clone(), written.0.get()));
+    }
+    fn bytes(&self) -> u64 {
+        self.written.as_ref().map_or(0, |(w, from)| w.0.get() - from)
+    }
+    fn untouched(&self) -> bool {
+        self.bytes() == 0
+    }
+    /// Its last byte is certainly not out; in doubt it is.
+    fn never_whole(&self) -> bool {
+        self.bytes() < self.size.max(1)
+    }
+}
+
+impl Forward {
+    fn request(&self, until: Instant, sent: &mut Sent) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let left = HeaderValue::from_str(&left.to_string()).ok()?;
+        request.headers_mut().insert("x-deadline-ms", left);
+        // Every name and value goes out with at least this much around it.
+        let head: usize =
+            request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+        sent.size = (head + self.body.len()) as u64;
+        Some(request)
+    }
+}
--- a/src/bin/shorepick-benchlink/instance.rs
+++ b/src/bin/shorepick-benchlink/instance.rs
@@ -1,16 +1,12 @@
 //! One balancer of the bank and the names its handles stand for.
 
 use rustc_hash::FxHashMap;
-use shorepick::interface::{self as d, Action, Event, Report, RequestId, ServerId, Span, Time};
+use shorepick::interface::{self as d, Action, Event, Report, RequestId, ServerId, Time};
 use shorepick::policy::Balancer;
+use shorepick::settings::{Field, key_hash, span, stable_hash};
 
 use crate::wire::{self, Command};
 
-/// Milliseconds of the wire in whole microseconds; whatever is not a number is 0.
-pub fn span(ms: f64) -> Span {
-    Span((ms * 1000.0).round() as i64)
-}
-
 pub fn time(ms: f64) -> Time {
     Time(span(ms).0)
 }
@@ -19,23 +15,6 @@
     us as f64 / 1000.0
 }
 
-/// FNV-1a: the same at every balancer and in every build.
-fn stable_hash(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-#[derive(Clone, Copy)]
-enum Field {
-    InFlight,
-    Queue,
-    Util,
-    Service,
-    Qps,
-    Eps,
-    Other,
-}
-
 /// A request that may still be named on the wire.
 struct Job {
     name: Box<str>,
@@ -60,20 +39,11 @@
 impl Instance {
     pub fn new(now: Time, init: &wire::Init) -> Result<Self, d::SettingsError> {
         let facts = &init.facts;
-        let field = |name: &String| match name.as_str() {
-            "inflight" => Field::InFlight,
-            "queue" => Field::Queue,
-            "util" => Field::Util,
-            "latency_ms" => Field::Service,
-            "qps" => Field::Qps,
-            "eps" => Field::Eps,
-            _ => Field::Other,
-        };
         Ok(Self {
             who: init.who,
-            balancer: Balancer::new(settings(facts), init.entropy, now)?,
+            balancer: Balancer::new(facts.settings(), init.entropy, now)?,
             classes: facts.services.len(),
-            fields: facts.stats.names.iter().map(field).collect(),
+            fields: facts.stats.names.iter().map(|name| Field::named(name)).collect(),
             servers: FxHashMap::default(),
             server_names: Vec::new(),
             by_name: FxHashMap::default(),
@@ -93,7 +63,7 @@
             id: RequestId(self.next_job),
             class: m.tier_class,
             tenant: m.party,
-            key: key.map(|k| u64::from_str_radix(k, 16).unwrap_or_else(|_| stable_hash(k))),
+            key: key.map(key_hash),
             drop_dead: time(m.drop_dead),
             cost_guess: m.cost_guess.map(span),
             resent: m.resent,
@@ -208,15 +178,7 @@
     fn report(&self, row: Option<&wire::Row>) -> Report {
         let mut report = Report::default();
         for (field, &value) in self.fields.iter().zip(row.into_iter().flatten()) {
-            match field {
-                Field::InFlight => report.inflight = Some(value),
-                Field::Queue => report.queue = Some(value),
-                Field::Util => report.util = Some(value),
-                Field::Service => report.service = Some(span(value)),
-                Field::Qps => report.qps = Some(value),
-                Field::Eps => report.eps = Some(value),
-                Field::Other => {}
-            }
+            field.set(&mut report, value);
         }
         report
     }
@@ -297,86 +259,3 @@
         _ => return Err(format!("field `Rc`: no outcome {rc}")),
     })
 }
-
-fn settings(facts: &wire::Facts) -> d::Settings {
-    let class = |s: &wire::Service| d::Class {
-        aim: span(s.aim),
-        deadline: span(s.deadline),
-        worth: s.importance,
-        late_worth: s.late_value,
-        effect: match s.effect {
-            wire::Effect::Retryable => d::Effect::Safe,
-            wire::Effect::Dedup => d::Effect::Keyed,
-            wire::Effect::Fragile => d::Effect::Unsafe,
-        },
-        group: match s.group {
-            wire::Group::All => d::Group::All,
-            wire::Group::Zone => d::Group::Zone,
-            wire::Group::Cell => d::Group::Cell,
-        },
-        window: span(s.window),
-        aim_stretch: s.aim_stretch,
-        streaming: s.streaming,
-        in_order: s.by_arrival,
-        zones: s.zones_allowed.clone(),
-        kinds: s.bound_to.clone(),
-    };
-    let limits = &facts.policy_limits;
-    d::Settings {
-        classes: facts.services.iter().map(class).collect(),
-        tenants: facts
-            .tenants
-            .iter()
-            .map(|t| d::Tenant { quota_rps: t.quota_rps, share: t.share })
-            .collect(),
-        balancers: facts.balancers,
-        position: facts.position,
-        zones: facts.zones.len() as u32,
-        zone: facts.zone,
-        tick: span(facts.tick),
-        must_ask: facts.registry_mode == wire::RegistryMode::Subscribe,
-        limits: d::Limits {
-            max_attempts: limits.max_attempts,
-            second_copies: limits.second_copies,
-            cancel: limits.cancelling,
-            probes: limits.probes,
-            retry_after: limits.retry_after,
-            max_retry_after: span(limits.max_retry_after),
-            connect_timeout: span(limits.connect_timeout),
-            keepalive: span(limits.keepalive),
-            streams_per_conn: limits.streams_per_conn,
-        },
-        rules: d::Rules {
-            cold_from: facts.safety.cold_from,
-            cold: span(facts.safety.cold),
-            fall_multiple: facts.safety.fall_multiple,
-            tip_after: span(facts.safety.tip_after),
-            drain_grace: span(facts.safety.drain_grace),
-            answer_slack: span(facts.safety.answer_slack),
-            ask_every: span(facts.safety.ask_every),
-            drain_close: span(facts.safety.drain_close),
-            turn_gap: span(facts.safety.turn_gap),
-        },
-        prices: d::Prices {
-            cross_zone: facts.prices.cross_zone,
-            waste: facts.prices.waste,
-            handshake: facts.prices.handshake,
-            probe: facts.prices.probe,
-            late_fail: facts.prices.late_fail,
-        },
-        mix: d::ScoringMix {
-            whole: facts.scoring_mix.whole,
-            worst_window: facts.scoring_mix.worst_window,
-            worst_class: facts.scoring_mix.worst_class,
-            worst_tenant: facts.scoring_mix.worst_tenant,
-        },
-        over_share_worth: facts.over_share_worth,
-        by_work: facts.counted_by == wire::CountedBy::Work,
-        marks_retry: facts.client_habits.marks_retry,
-        reports: match facts.stats.how {
-            wire::How::Piggyback => d::Reports::Answers,
-            wire::How::Pull => d::Reports::Probes,
-            wire::How::Silent => d::Reports::None,
-        },
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod interface;
 pub mod policy;
+pub mod settings;
 mod state;
 
 /// The README's example, compiled as a doc test.
