Test the node on loopback sockets

Seventeen tests start the real program between stand-ins for clients, upstreams and discovery: outcomes (turned away, may have run, cut short, refused, silent), kept connections, the watch, drains, SIGTERM, a full descriptor table, bad settings. A phase that discovery may add later counts as draining instead of ending the watch.

--- a/src/bin/hollowpaddle/discovery.rs
+++ b/src/bin/hollowpaddle/discovery.rs
@@ -62,6 +62,9 @@
     Serving,
     Draining,
     Deleted,
+    /// One that this build does not know: nothing says that it takes requests.
+    #[serde(other)]
+    Unknown,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -94,7 +97,7 @@
     notes: mpsc::UnboundedSender<Note>,
 ) {
     if let Err(cause) = follow(address, revision, beats, serial, &notes).await {
-        tracing::debug!(%cause, "watch over");
+        tracing::info!(%cause, revision, "watch over");
     }
     let _ = notes.send(Note::WatchEnded { serial });
 }
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -515,7 +515,7 @@
             }
             match entry.phase {
                 Phase::Serving => target.closed_from.set(None),
-                Phase::Draining | Phase::Deleted => close(target),
+                Phase::Draining | Phase::Deleted | Phase::Unknown => close(target),
             }
             members.push(self.member(id, entry));
         }
@@ -546,7 +546,7 @@
             cell: entry.cell,
             status: match entry.phase {
                 Phase::Serving => d::Status::Live,
-                Phase::Draining => d::Status::Draining,
+                Phase::Draining | Phase::Unknown => d::Status::Draining,
                 Phase::Deleted => d::Status::Gone,
             },
             weight: entry.size,
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -48,7 +48,9 @@
     let pool = Pool::new(budget.upstreams, &config);
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
     tokio::task::spawn_local(engine.run());
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
+    // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
+    let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    tracing::info!(name = config.name, "listening on {bound}");
     let front = Rc::new(Front::new(&config, handle, budget.clients));
     front
         .serve(listener, async move {
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,352 @@
+//! The node on loopback sockets. Each test guards against a failure that the code it covers names.
+
+mod stubs;
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use stubs::*;
+
+#[test]
+fn a_request_goes_on_unchanged_and_so_does_its_answer() {
+    let upstream = Upstream::start(|_| ok("done"));
+    let node = Node::start(&config(members(&[&upstream])));
+    let answer = node.client().ask(
+        "POST /api?x=1%20y HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: r1\r\nX-Class: log\r\n\
+         Idempotency-Key: k1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 5\r\n\r\nhello",
+    );
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"done"[..]));
+    let (_, seen) = upstream.request();
+    assert_eq!(seen.first, "POST /api?x=1%20y HTTP/1.1");
+    assert_eq!(seen.body, b"hello");
+    assert_eq!((seen.header("x-request-id"), seen.header("idempotency-key")), ("r1", "k1"));
+    let left: u64 = seen.header("x-deadline-ms").parse().expect("whole milliseconds");
+    assert!(left > 0 && left < 5000, "the upstream is told the time that is left, not {left}");
+}
+
+#[test]
+fn what_is_malformed_is_answered_here() {
+    let upstream = Upstream::start(|_| ok(""));
+    let node = Node::start(&config(members(&[&upstream])));
+    let head = "Host: a\r\nX-Request-Id: r\r\n";
+    let late = "X-Deadline-Ms: 5000\r\n";
+    let class = "X-Class: read\r\n";
+    let long = "x".repeat((64 << 10) + 1);
+    let wrong = [
+        format!("GET /api HTTP/1.1\r\n{head}X-Class: none\r\n{late}\r\n"),
+        format!("GET /api HTTP/1.1\r\n{head}{late}\r\n"),
+        format!("GET /api HTTP/1.1\r\n{head}{class}\r\n"),
+        format!("GET /api HTTP/1.1\r\n{head}{class}X-Deadline-Ms: soon\r\n\r\n"),
+        format!("GET /api HTTP/1.1\r\n{head}{class}X-Deadline-Ms: 0\r\n\r\n"),
+        format!("GET /api HTTP/1.1\r\n{head}{class}X-Deadline-Ms: -3\r\n\r\n"),
+        format!("GET /api HTTP/1.1\r\nHost: a\r\n{class}{late}\r\n"),
+        format!("POST /api HTTP/1.1\r\n{head}{class}{late}Content-Length: 0\r\n\r\n"),
+        format!("GET /api HTTP/1.1\r\n{head}X-Class: alarm\r\n{late}\r\n"),
+        format!("POST /api HTTP/1.1\r\n{head}X-Class: log\r\n{late}Content-Length: 0\r\n\r\n"),
+        alarm("r", 5000, &long),
+    ];
+    for text in wrong {
+        let short: String = text.chars().take(160).collect();
+        assert_eq!(node.client().ask(&text).status(), 400, "{short}");
+    }
+    assert_eq!(node.client().ask("GET /other HTTP/1.1\r\nHost: a\r\n\r\n").status(), 404);
+    assert_eq!(node.client().ask("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+    assert_eq!(upstream.requests_so_far(), 0);
+    let whole = "x".repeat(64 << 10);
+    assert_eq!(node.client().ask(&alarm("r", 5000, &whole)).status(), 200);
+}
+
+#[test]
+fn ready_only_once_there_is_an_upstream() {
+    let node = Node::start(&config(vec![]));
+    let mut client = node.client();
+    let ready = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    assert_eq!(client.ask(ready).status(), 503);
+    let upstream = Upstream::start(|_| ok(""));
+    let (_, mut watch) = node.discovery.watch();
+    let list = json!({"revision": 42, "complete": true, "members": members(&[&upstream])});
+    chunk(&mut watch, &format!("{list}\n"));
+    let from = Instant::now();
+    while client.ask(ready).status() != 200 {
+        assert!(from.elapsed() < SOON, "not ready with an upstream");
+    }
+}
+
+/// A pair of upstreams of which the first that is asked does this, and every later request is served.
+fn first_does(does: Does) -> (Upstream, Upstream) {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let start = || {
+        let (asked, does) = (asked.clone(), does.clone());
+        Upstream::start(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
+            0 => does.clone(),
+            _ => ok("second"),
+        })
+    };
+    (start(), start())
+}
+
+fn seen_at(pair: &(Upstream, Upstream)) -> usize {
+    pair.0.requests_so_far() + pair.1.requests_so_far()
+}
+
+#[test]
+fn an_unsafe_request_that_was_turned_away_is_sent_elsewhere() {
+    for status in ["503 Service Unavailable", "504 Gateway Timeout"] {
+        let pair = first_does(answers(status, "X-Not-Run: 1\r\n"));
+        let node = Node::start(&config(members(&[&pair.0, &pair.1])));
+        let answer = node.client().ask(&alarm("r1", 5000, "x"));
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"second"[..]));
+        assert_eq!(seen_at(&pair), 2);
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    let may_have_run = [
+        answers("503 Service Unavailable", ""),
+        answers("504 Gateway Timeout", ""),
+        answers("500 Internal Server Error", "X-Not-Run: 1\r\n"),
+        Does::Ends(String::new()),
+        // Cut short: it must not pass for an answer.
+        Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_string()),
+    ];
+    for does in may_have_run {
+        let pair = first_does(does);
+        let node = Node::start(&config(members(&[&pair.0, &pair.1])));
+        assert_eq!(node.client().ask(&alarm("r1", 5000, "x")).status(), 502);
+        assert_eq!(seen_at(&pair), 1);
+    }
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    let dead = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let upstream = Upstream::start(|_| ok("served"));
+    let both = vec![member("s-0", dead, "SERVING"), member("s-1", upstream.address, "SERVING")];
+    let node = Node::start(&config(both));
+    for id in ["r1", "r2", "r3"] {
+        assert_eq!(node.client().ask(&alarm(id, 5000, "x")).status(), 200);
+    }
+}
+
+#[test]
+fn a_silent_upstream_is_answered_for_before_the_deadline() {
+    let upstream = Upstream::start(|_| Does::Hangs);
+    let node = Node::start(&config(members(&[&upstream])));
+    let from = Instant::now();
+    let answer = node.client().ask(&alarm("r1", 1500, "x"));
+    assert_eq!(answer.status(), 504);
+    // The aim is later than the deadline here, so only the deadline can have ended it.
+    assert!(from.elapsed() < Duration::from_millis(1500), "too late to arrive");
+    // Its connection is of no more use, and closed.
+    let from = Instant::now();
+    while !matches!(upstream.seen.recv_timeout(SOON), Ok(Seen::Closed)) {
+        assert!(from.elapsed() < SOON, "the connection stays");
+    }
+}
+
+#[test]
+fn a_late_answer_to_a_client_that_left_goes_to_nobody_else() {
+    let (go, waits) = channel();
+    let waits = Arc::new(Mutex::new(waits));
+    let upstream = Upstream::start(move |m| match m.header("x-request-id") {
+        "r1" => Does::Waits(waits.clone()),
+        _ => ok("own"),
+    });
+    let node = Node::start(&config(members(&[&upstream])));
+    let mut leaves = node.client();
+    leaves.send(&read("r1", 5000));
+    let (first, _) = upstream.request();
+    drop(leaves);
+    // The one slot is still taken, so the second waits for the first one's end.
+    let mut stays = node.client();
+    stays.send(&read("r2", 5000));
+    go.send(()).expect("the upstream waits");
+    let answer = stays.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"own"[..]));
+    let (second, _) = upstream.request();
+    assert_eq!(first, second, "the connection was in order and is kept");
+}
+
+#[test]
+fn a_connection_that_the_upstream_closed_is_not_used() {
+    let upstream = Upstream::start(|m| match m.header("x-request-id") {
+        "r1" => Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_string()),
+        _ => ok("ok"),
+    });
+    let node = Node::start(&config(members(&[&upstream])));
+    let mut client = node.client();
+    assert_eq!(client.ask(&alarm("r1", 5000, "x")).status(), 200);
+    while !matches!(upstream.seen.recv_timeout(SOON), Ok(Seen::Closed)) {}
+    assert_eq!(client.ask(&alarm("r2", 5000, "x")).status(), 200);
+}
+
+#[test]
+fn an_idle_connection_is_dropped_before_the_upstream_would() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let mut config = config(members(&[&upstream]));
+    config["settings"]["PolicyLimits"]["Keepalive"] = json!(4000.0);
+    let node = Node::start(&config);
+    assert_eq!(node.client().ask(&read("r1", 5000)).status(), 200);
+    let from = Instant::now();
+    while !matches!(upstream.seen.recv_timeout(SOON), Ok(Seen::Closed)) {
+        assert!(from.elapsed() < SOON, "the connection stays");
+    }
+    assert!(from.elapsed() < Duration::from_millis(3900), "closed too late: {:?}", from.elapsed());
+}
+
+#[test]
+fn the_watch_is_followed_and_asked_for_again() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let node = Node::start(&config(members(&[&old])));
+    let mut client = node.client();
+    assert_eq!(client.ask(&read("r1", 5000)).body, b"old");
+    let (call, mut watch) = node.discovery.watch();
+    assert_eq!(call, "GET /api/targets?stream=1&index=41 HTTP/1.1");
+    // Heartbeats, an update in two pieces, and the same upstream under another address.
+    let moved = json!({"revision": 43, "complete": false,
+        "members": [member("s-0", new.address, "SERVING")]});
+    let text = format!("\n\n{moved}\n\n");
+    let (a, b) = text.split_at(30);
+    chunk(&mut watch, a);
+    chunk(&mut watch, b);
+    let from = Instant::now();
+    while client.ask(&read("r2", 5000)).body != b"new" {
+        assert!(from.elapsed() < SOON, "the new address is not used");
+    }
+    // An ended watch is asked for again, from where it ended.
+    drop(watch);
+    let (call, _) = node.discovery.watch();
+    assert_eq!(call, "GET /api/targets?stream=1&index=43 HTTP/1.1");
+}
+
+#[test]
+fn a_silent_watch_is_given_up() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = Node::start(&config(members(&[&upstream])));
+    let (_, mut first) = node.discovery.watch();
+    // With a first word the module takes the watch as standing, and will not ask again by itself.
+    let list = json!({"revision": 42, "complete": false, "members": []});
+    chunk(&mut first, &format!("{list}\n\n"));
+    // Held open and silent, as by a machine that was cut off.
+    let (_, second) = node.discovery.watch();
+    drop((first, second));
+}
+
+#[test]
+fn nothing_new_goes_to_what_drains_or_is_left_out_of_a_whole_list() {
+    let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
+    let node = Node::start(&config(members(&[&a, &b])));
+    let (_, mut watch) = node.discovery.watch();
+    let list = |revision, complete, members| {
+        let list = json!({"revision": revision, "complete": complete, "members": members});
+        format!("{list}\n")
+    };
+    let phases = |a_phase, b_phase| {
+        json!([member("s-0", a.address, a_phase), member("s-1", b.address, b_phase)])
+    };
+    let [only_a, only_b] =
+        [("s-0", &a), ("s-1", &b)].map(|(id, u)| json!([member(id, u.address, "SERVING")]));
+    // Each way round: which of the two would be asked first is not for this test to say.
+    let told = [
+        (list(42, false, phases("DRAINING", "SERVING")), "b"),
+        (list(43, false, phases("SERVING", "DRAINING")), "a"),
+        (list(44, false, phases("DELETED", "SERVING")), "b"),
+        (list(45, true, only_a), "a"),
+        (list(46, true, only_b), "b"),
+    ];
+    let mut client = node.client();
+    for (list, left) in told {
+        chunk(&mut watch, &list);
+        let from = Instant::now();
+        while client.ask(&read("r", 5000)).body != left.as_bytes() {
+            assert!(from.elapsed() < Duration::from_millis(500), "sent past the grace of a drain");
+        }
+        for _ in 0..4 {
+            assert_eq!(client.ask(&read("r", 5000)).body, left.as_bytes());
+        }
+    }
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken() {
+    let (go, waits) = channel();
+    let waits = Arc::new(Mutex::new(waits));
+    let upstream = Upstream::start(move |m| match m.header("x-request-id") {
+        "r1" => Does::Waits(waits.clone()),
+        _ => ok("ok"),
+    });
+    let quick = Upstream::start(|_| ok("ok"));
+    let mut node = Node::start(&config(members(&[&upstream])));
+    let mut taken = node.client();
+    taken.send(&read("r1", 5500));
+    upstream.request();
+    let idle = node.client();
+    node.terminate();
+    drop(quick);
+    // New connections still find it for a moment.
+    let mut new = node.client();
+    new.send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    new.answer().expect("an answer");
+    go.send(()).expect("the upstream waits");
+    let answer = taken.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    drop(idle);
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+#[test]
+fn a_full_descriptor_table_is_survived() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let mut command = Command::new("sh");
+    command.args(["-c", "ulimit -n 40; exec \"$0\"", NODE]);
+    let mut node = Node::start_by(command, &config(members(&[&upstream])));
+    // More clients than descriptors; the rest waits in the backlog.
+    let crowd: Vec<TcpStream> =
+        (0..80).map(|_| TcpStream::connect(node.address).expect("the backlog holds it")).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    drop(crowd);
+    assert_eq!(node.client().ask(&read("r1", 5000)).status(), 200);
+    assert!(node.child.try_wait().expect("a child").is_none());
+}
+
+#[test]
+fn a_bad_configuration_is_told_plainly() {
+    let run = |file: &str| {
+        let path = write_config(file);
+        let output = Command::new(NODE)
+            .env("LB_CONFIG", &path)
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", "127.0.0.1:1")
+            .output()
+            .expect("it runs");
+        let _ = std::fs::remove_file(path);
+        assert!(!output.status.success());
+        String::from_utf8(output.stderr).expect("UTF-8")
+    };
+    let mut bad = config(vec![]);
+    bad["settings"]["Tick"] = json!("often");
+    assert!(run(&bad.to_string()).contains("settings.Tick"));
+    assert!(run("{").contains("EOF"));
+    let mut bad = config(vec![]);
+    bad["settings"]["Services"] = json!([]);
+    assert!(run(&bad.to_string()).contains("no request class"));
+}
+
+#[test]
+fn a_request_cut_off_before_its_end_reaches_nobody() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = Node::start(&config(members(&[&upstream])));
+    let text = alarm("r1", 5000, "whole");
+    let mut cut = TcpStream::connect(node.address).expect("it accepts");
+    cut.write_all(&text.as_bytes()[..text.len() - 2]).expect("written");
+    drop(cut);
+    assert_eq!(node.client().ask(&alarm("r2", 5000, "x")).status(), 200);
+    assert_eq!(upstream.requests_so_far(), 1);
+}
