Keep the news of a list in which one entry can't be read

Cause, from reading the code: the whole line was parsed at once, so one entry of an odd form ended the watch, and the same line came again with the next. A known upstream that drained without a valid address was left out, and its drain with it. Now such an entry is left out alone, and a known upstream keeps its last address.

A silent watch is given up after 3.5 s instead of 5: news counts as told 6 s after it was due, and 5 s of silence, up to 1 s before the module asks again and a call of up to 3 s could pass that. Beats come every 2 s. The test fails without the change: an entry with no address ended the watch.

--- a/src/bin/hollowpaddle/discovery.rs
+++ b/src/bin/hollowpaddle/discovery.rs
@@ -16,10 +16,11 @@
 use crate::engine::Note;
 
 /// A watch says something every 2 s; without a word for this long it is dead, though nothing told so (a
-/// machine that is cut off sends no reset).
-const SILENCE: Duration = Duration::from_millis(5000);
+/// machine that is cut off sends no reset). News counts as told after 6 s, heard or not: the next call must
+/// fit in before that.
+const SILENCE: Duration = Duration::from_millis(3500);
 /// A call that waits for its turn longer than this has failed.
-const CALL: Duration = Duration::from_millis(4000);
+const CALL: Duration = Duration::from_millis(3000);
 /// No line of a list is longer than this; more is not discovery.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -30,14 +31,26 @@
     pub revision: u64,
     #[serde(default)]
     pub complete: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable")]
     pub members: Vec<Entry>,
 }
 
+/// Guards against one entry that can't be read: it must not cost the news of all others.
+fn readable<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<Entry>, D::Error> {
+    let all = Vec::<serde_json::Value>::deserialize(from)?;
+    let read = |entry| {
+        serde_json::from_value(entry)
+            .inspect_err(|cause| tracing::warn!(%cause, "an entry of the list is left out"))
+            .ok()
+    };
+    Ok(all.into_iter().filter_map(read).collect())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Entry {
     pub id: String,
-    /// May differ between balancers and change over time; the id is who it is.
+    /// May differ between balancers and change over time; the id is who it is. What is deleted may have none.
+    #[serde(default)]
     pub host_port: String,
     #[serde(default)]
     pub locality: String,
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -504,7 +504,9 @@
         }
         let mut members = Vec::with_capacity(list.members.len());
         for entry in &list.members {
-            let Ok(address) = entry.host_port.parse() else {
+            // Without a valid address the last one stands: that it drains must not be lost with it.
+            let known = self.ids.get(&entry.id).map(|id| self.targets[id.0 as usize].address.get());
+            let Some(address) = entry.host_port.parse().ok().or(known) else {
                 tracing::warn!(id = entry.id, address = entry.host_port, "no such address");
                 continue;
             };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -260,6 +260,32 @@
     drop((first, second));
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_costs_no_other_its_news() {
+    let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
+    let node = Node::start(&config(members(&[&a, &b])));
+    let (_, mut watch) = node.discovery.watch();
+    let mut client = node.client();
+    // Each way round; what takes no requests comes without an address.
+    let phases = [["DRAINING", "SERVING"], ["SERVING", "DELETED"]];
+    for (revision, (phases, left)) in phases.into_iter().zip([b"b", b"a"]).enumerate() {
+        let entry = |id, upstream: &Upstream, phase| match phase {
+            "SERVING" => member(id, upstream.address, phase),
+            _ => json!({"id": id, "phase": phase}),
+        };
+        let list = json!({"revision": 42 + revision, "complete": false, "members":
+            [{"id": 7, "phase": []}, entry("s-0", &a, phases[0]), entry("s-1", &b, phases[1])]});
+        chunk(&mut watch, &format!("{list}\n"));
+        let from = Instant::now();
+        while client.ask(&read("r", 5000)).body != left {
+            assert!(from.elapsed() < SOON, "the news was lost");
+        }
+        for _ in 0..4 {
+            assert_eq!(client.ask(&read("r", 5000)).body, left);
+        }
+    }
+}
+
 #[test]
 fn nothing_new_goes_to_what_drains_or_is_left_out_of_a_whole_list() {
     let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
