Count a connection's idle time from its last answer, and end with the engine

A connection that was taken, and then not used because its request was over, went back as if it had just been used, and could pass the upstream's own idle limit. The time now counts from the last answer only. A node whose engine is gone now exits with an error instead of failing every request. Load reports and the reckoning of what never ran have unit tests.

--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -47,15 +47,17 @@
     let budget = config.budget();
     let pool = Pool::new(budget.upstreams, &config);
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
-    tokio::task::spawn_local(engine.run());
+    let engine = tokio::task::spawn_local(engine.run());
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
     let front = Rc::new(Front::new(&config, handle, budget.clients));
-    front
-        .serve(listener, async move {
-            term.recv().await;
-        })
-        .await;
-    Ok(())
+    let serve = front.serve(listener, async move {
+        term.recv().await;
+    });
+    tokio::select! {
+        () = serve => Ok(()),
+        // Without it nothing is ever answered well again; a restart is better.
+        _ = engine => Err("the engine ended".to_string()),
+    }
 }
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -216,8 +216,7 @@
         None
     }
 
-    fn put(&self, server: ServerId, mut link: Link) {
-        link.idle_since = Instant::now();
+    fn put(&self, server: ServerId, link: Link) {
         self.idle.borrow_mut().entry(server).or_default().push(link);
     }
 
@@ -327,13 +326,14 @@
         answer: Response<hyper::body::Incoming>,
     ) -> Ended {
         let (head, body) = answer.into_parts();
-        let report = self.report(&head.headers);
+        let report = report(&self.fields, &head.headers);
         let body = match Limited::new(body, BODY_LIMIT).collect().await {
             Ok(body) => body.to_bytes(),
             // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
             Err(_) => return Ended { report, ..Ended::bare(Outcome::Reset) },
         };
         if let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
+            link.idle_since = Instant::now();
             self.put(server, link);
         }
         let not_run = head.headers.get("x-not-run").is_some_and(|v| v == "1");
@@ -347,22 +347,22 @@
         let response = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
         Ended { outcome, report, response }
     }
+}
 
-    /// `X-Load: TEXT name=value, name=value`; what is not understood is left out.
-    fn report(&self, headers: &HeaderMap) -> Report {
-        let mut report = Report::default();
-        let text = headers.get("x-load").and_then(|v| v.to_str().ok());
-        let Some(text) = text.and_then(|t| t.trim().strip_prefix("TEXT")) else { return report };
-        for pair in text.split(',') {
-            let Some((name, value)) = pair.split_once('=') else { continue };
-            let Ok(value) = value.trim().parse::<f64>() else { continue };
-            let known = self.fields.iter().find(|(n, _)| n == name.trim());
-            if let Some((_, field)) = known.filter(|_| value.is_finite()) {
-                field.set(&mut report, value);
-            }
+/// `X-Load: TEXT name=value, name=value`; what is not understood is left out.
+fn report(fields: &[(String, Field)], headers: &HeaderMap) -> Report {
+    let mut report = Report::default();
+    let text = headers.get("x-load").and_then(|v| v.to_str().ok());
+    let Some(text) = text.and_then(|t| t.trim().strip_prefix("TEXT")) else { return report };
+    for pair in text.split(',') {
+        let Some((name, value)) = pair.split_once('=') else { continue };
+        let Ok(value) = value.trim().parse::<f64>() else { continue };
+        let known = fields.iter().find(|(n, _)| n == name.trim());
+        if let Some((_, field)) = known.filter(|_| value.is_finite()) {
+            field.set(&mut report, value);
         }
-        report
     }
+    report
 }
 
 /// How much of a request was handed to the kernel.
@@ -405,3 +405,45 @@
         Some(request)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_is_read_as_far_as_it_is_understood() {
+        let fields = ["eps", "qps", "inflight"].map(|n| (n.to_string(), Field::named(n)));
+        let read = |text: &str| {
+            let mut headers = HeaderMap::new();
+            headers.insert("x-load", text.parse().expect("a header"));
+            let r = report(&fields, &headers);
+            (r.eps, r.qps, r.inflight)
+        };
+        assert_eq!(read("TEXT eps=0.5, qps=140, inflight=7"), (Some(0.5), Some(140.0), Some(7.0)));
+        assert_eq!(read("TEXT inflight=7,queue=2, qps=NaN, eps=x,"), (None, None, Some(7.0)));
+        assert_eq!(read("JSON {\"eps\": 1}"), (None, None, None));
+    }
+
+    #[test]
+    fn only_what_is_certainly_not_whole_never_ran() {
+        let forward = Forward {
+            method: Method::POST,
+            uri: Uri::from_static("/api"),
+            headers: HeaderMap::new(),
+            body: Bytes::from_static(b"0123456789"),
+        };
+        let mut sent = Sent::default();
+        assert!(sent.untouched() && sent.never_whole(), "no connection yet");
+        let written = Written::default();
+        written.0.set(1000); // An earlier request on the same connection.
+        assert!(forward.request(Instant::now(), &mut sent).is_some());
+        sent.start(&written);
+        assert!(sent.untouched() && sent.never_whole());
+        written.0.set(1000 + 10);
+        assert!(!sent.untouched() && sent.never_whole(), "head and body are longer than the body");
+        // `POST /api HTTP/1.1`, X-Deadline-Ms and the body, and not a byte less.
+        let whole = "POST /api HTTP/1.1\r\nx-deadline-ms: 0\r\n\r\n0123456789".len();
+        written.0.set(1000 + whole as u64);
+        assert!(!sent.never_whole());
+    }
+}
