Tell refused clients when to come back

A refusal came at once but never with Retry-After, though the site allows it: the module always gave zero. Its advice is now the mean service time plus the wait that the tightest class can bear, by when all that is queued has ended, up to the longest that clients heed; none where the settings allow none.

What the advice does to clients that do heed it is not measured: none on this site do.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -302,6 +302,9 @@
         self.tick.0 = self.tick.0.max(100);
         self.balancers = self.balancers.max(1);
         self.limits.max_attempts = self.limits.max_attempts.max(1);
+        // Where clients are given no advice, the longest that they heed is none.
+        let most = if self.limits.retry_after { self.limits.max_retry_after.0.max(0) } else { 0 };
+        self.limits.max_retry_after = Span(most);
         self.rules.cold_from = self.rules.cold_from.clamp(0.01, 1.0);
         self.rules.ask_every.0 = self.rules.ask_every.0.max(self.tick.0.saturating_mul(10));
         Ok(self)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,10 +1,7 @@
 //! Every decision of the balancer, and nothing else: no clock, no I/O, no threads.
 //! Its interface (settings, events, actions) is `src/interface.rs`; its plain records are `src/state.rs`.
-//!
-//! The ordinary path is the mechanism of Ould Deye et al.: a first-come queue at the
-//! proxy, at most `K_i = 2*TP_i/TS_i + 1` requests out per upstream, and refusal once
-//! queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`. The reading
-//! order is the order of the sections below; `docs/design.md` gives the reasons.
+//! The ordinary path is Ould Deye et al.'s: a first-come queue, at most `K_i = 2*TP_i/TS_i + 1` requests out
+//! per upstream, and refusal once queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`.
 
 use std::collections::VecDeque;
 
@@ -528,10 +525,12 @@
         }
     }
 
-    fn refuse(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let request = id;
-        out.push(Action::Refuse { request, retry_after: Span(0) });
-        self.end(id);
+    fn refuse(&mut self, request: RequestId, out: &mut Vec<Action>) {
+        // By then all that is queued now has ended: who comes sooner stands behind the same queue.
+        let most = self.settings.limits.max_retry_after;
+        let retry_after = Span::of(self.fleet.ts + self.fleet.bearable).min(most);
+        out.push(Action::Refuse { request, retry_after });
+        self.end(request);
     }
 
     fn end(&mut self, id: RequestId) {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -286,6 +286,21 @@
     }
 }
 
+#[test]
+fn what_is_refused_is_answered_at_once_and_told_when_to_come_back() {
+    let upstream = Upstream::start(|_| Does::Hangs);
+    let node = Node::start(&config(members(&[&upstream])));
+    let mut clients: Vec<Client> = (0..20).map(|_| node.client()).collect();
+    let from = Instant::now();
+    clients.iter_mut().for_each(|c| c.send(&read("r", 6000)));
+    // One slot at one upstream: most of twenty can't be held.
+    let refused = clients.pop().expect("twenty").answer().expect("an answer");
+    assert!(from.elapsed() < Duration::from_millis(1500), "held back");
+    assert_eq!(refused.status(), 503);
+    let after: f64 = refused.header("retry-after").parse().expect("seconds");
+    assert!(after > 0.0 && after <= 2.0, "{after}");
+}
+
 #[test]
 fn nothing_new_goes_to_what_drains_or_is_left_out_of_a_whole_list() {
     let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
