Make the tests on drains and on the list able to fail

Taking the mends out one at a time showed that the test on an entry that can't be read passed without its mend: it asked one request at a time, and the module goes on with one upstream whatever it knows of the other. That test and the one on drains now keep two requests out at once at upstreams with one slot each. The check right before a request is written had no test; one now fills an upstream's backlog, lets the grace of a drain pass, and makes room.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,8 +2,8 @@
 
 mod stubs;
 
-use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
@@ -260,15 +260,39 @@
     drop((first, second));
 }
 
+/// An upstream that takes long enough for two requests to be out at once.
+fn slow(body: &'static str) -> Upstream {
+    Upstream::start(move |_| {
+        std::thread::sleep(Duration::from_millis(30));
+        ok(body)
+    })
+}
+
+/// Waits until two requests at once are both served by one upstream, which has one slot: while two are open,
+/// each would get one. Then it must stay so.
+fn only(node: &Node, left: &str) {
+    let mut pair = [node.client(), node.client()];
+    let mut all_there = || {
+        pair.iter_mut().for_each(|c| c.send(&read("r", 5000)));
+        pair.each_mut().map(|c| c.answer().expect("an answer").body == left.as_bytes()) == [true; 2]
+    };
+    let from = Instant::now();
+    while !all_there() {
+        assert!(from.elapsed() < SOON, "the news was lost");
+    }
+    for _ in 0..4 {
+        assert!(all_there());
+    }
+}
+
 #[test]
 fn an_entry_that_cannot_be_read_costs_no_other_its_news() {
-    let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
+    let (a, b) = (slow("a"), slow("b"));
     let node = Node::start(&config(members(&[&a, &b])));
     let (_, mut watch) = node.discovery.watch();
-    let mut client = node.client();
     // Each way round; what takes no requests comes without an address.
     let phases = [["DRAINING", "SERVING"], ["SERVING", "DELETED"]];
-    for (revision, (phases, left)) in phases.into_iter().zip([b"b", b"a"]).enumerate() {
+    for (revision, (phases, left)) in phases.into_iter().zip(["b", "a"]).enumerate() {
         let entry = |id, upstream: &Upstream, phase| match phase {
             "SERVING" => member(id, upstream.address, phase),
             _ => json!({"id": id, "phase": phase}),
@@ -276,13 +300,7 @@
         let list = json!({"revision": 42 + revision, "complete": false, "members":
             [{"id": 7, "phase": []}, entry("s-0", &a, phases[0]), entry("s-1", &b, phases[1])]});
         chunk(&mut watch, &format!("{list}\n"));
-        let from = Instant::now();
-        while client.ask(&read("r", 5000)).body != left {
-            assert!(from.elapsed() < SOON, "the news was lost");
-        }
-        for _ in 0..4 {
-            assert_eq!(client.ask(&read("r", 5000)).body, left);
-        }
+        only(&node, left);
     }
 }
 
@@ -303,7 +321,7 @@
 
 #[test]
 fn nothing_new_goes_to_what_drains_or_is_left_out_of_a_whole_list() {
-    let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
+    let (a, b) = (slow("a"), slow("b"));
     let node = Node::start(&config(members(&[&a, &b])));
     let (_, mut watch) = node.discovery.watch();
     let list = |revision, complete, members| {
@@ -323,16 +341,54 @@
         (list(45, true, only_a), "a"),
         (list(46, true, only_b), "b"),
     ];
-    let mut client = node.client();
     for (list, left) in told {
         chunk(&mut watch, &list);
-        let from = Instant::now();
-        while client.ask(&read("r", 5000)).body != left.as_bytes() {
-            assert!(from.elapsed() < Duration::from_millis(500), "sent past the grace of a drain");
-        }
-        for _ in 0..4 {
-            assert_eq!(client.ask(&read("r", 5000)).body, left.as_bytes());
+        only(&node, left);
+    }
+}
+
+#[test]
+fn what_waited_for_its_connection_past_the_grace_of_a_drain_is_not_sent() {
+    // A full backlog: connections to it come up only once there is room again.
+    let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let full = full.expect("a socket");
+    full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    full.listen(1).expect("listening");
+    let full = TcpListener::from(full);
+    let address = full.local_addr().expect("an address");
+    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
+    let fillers: Vec<TcpStream> = std::iter::from_fn(|| fill().ok()).take(64).collect();
+    assert!(fillers.len() < 64, "the backlog does not fill");
+
+    let mut config = config(vec![member("s-0", address, "SERVING")]);
+    config["settings"]["PolicyLimits"]["ConnectTimeout"] = json!(20_000.0);
+    config["settings"]["Services"][2]["Aim"] = json!(25_000.0);
+    config["settings"]["Services"][2]["Deadline"] = json!(30_000.0);
+    let node = Node::start(&config);
+    let (_, mut watch) = node.discovery.watch();
+    let mut client = node.client();
+    client.send(&alarm("r1", 30_000, "x"));
+    std::thread::sleep(Duration::from_millis(200)); // It is on its way, and cannot come up.
+    let list = json!({"revision": 42, "complete": false,
+        "members": [member("s-0", address, "DRAINING")]});
+    chunk(&mut watch, &format!("{list}\n"));
+    std::thread::sleep(Duration::from_millis(1500)); // Past the grace of 500 ms.
+    let (tell, seen) = channel();
+    std::thread::spawn(move || {
+        for stream in full.incoming() {
+            let (mut stream, tell) = (stream.expect("accepted"), tell.clone());
+            std::thread::spawn(move || {
+                let read = stream.read(&mut [0; 64]).unwrap_or(0);
+                let _ = tell.send(read);
+            });
         }
+    });
+    // Never ran, and nowhere else to go: the harmless answer.
+    assert_eq!(client.answer().expect("an answer").status(), 503);
+    drop(fillers);
+    drop(node);
+    while let Ok(read) = seen.recv_timeout(Duration::from_millis(300)) {
+        assert_eq!(read, 0, "it was sent all the same");
     }
 }
 
