Give clients' connections limits, check framing, and read the file again on SIGHUP

Cause: at the cap Front::accept stopped, nothing bounded a head (hyper's 30 s) or fittingly a body, and used connections stayed for good. Ruled out: memory (6 of 48 MB) and CPU (0.08 of a second). Now a head has 2 s, a body 750 ms, an idle kept connection 4 s; at the cap the one that has idled longest with no request open gives way. hyper drops a Content-Length beside a Transfer-Encoding; any transfer coding is refused, so are repeated headers that mean nothing twice, odd targets, ids that are open, and lengths over the limit before the body is read. What a client still sends is read out for a moment, so that the 4xx is not lost to a reset. Deadlines are bound by the class's; bodies by a part of the memory.

Cause: no handler, so the process ended (129) and lost what it held. Now it is installed before all else; the file is read again, a bad one is told and leaves the old in force, and the watch moves. Another agent counts its own revisions, so it is asked from 0 on.

The stream wrapper now sits under hyper for both sides, and a request is not written on a kept connection on which something waits unread. Each new test was seen to fail on the program before.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -1,29 +1,36 @@
 //! The side that faces clients: an HTTP server that reads requests, asks the engine, and answers once.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowpaddle::interface::{Effect, Span};
+use hollowpaddle::interface::{Class, Effect, Span};
 use hollowpaddle::settings::{Facts, key_hash};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
     RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashSet;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::config::Config;
+use crate::connections::{Connection, Connections, Seat};
 use crate::engine::{Arrival, Handle, Reply};
+use crate::stream::{Shared, Tapped};
 use crate::upstreams::Forward;
 
 /// The largest body that either side may send.
@@ -34,8 +41,29 @@
 const FINISH: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// No client waits longer than this; a figure beyond it is a mistake.
-const LONGEST_DEADLINE_MS: u64 = 3_600_000;
+/// A head may be this large, on either side, and have so many lines.
+pub const HEAD_LIMIT: usize = 16 << 10;
+pub const HEAD_LINES: usize = 64;
+/// An identifier of a request may be this long.
+const ID_LIMIT: usize = 128;
+/// A body must be whole this long after its head: clients here send both at once.
+const BODY_TIME: Duration = Duration::from_millis(750);
+/// What a client still sends behind its last answer is read for so long, and up to so much.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 4 << 20;
+/// Bodies that are read or held may take this part of the memory together.
+const BODIES_OF_MEMORY: usize = 8;
+
+/// Headers that mean nothing when they come twice.
+const ONCE: [&str; 7] = [
+    "host",
+    "x-request-id",
+    "x-class",
+    "x-tenant",
+    "x-deadline-ms",
+    "idempotency-key",
+    "content-length",
+];
 
 type Answer = Response<Full<Bytes>>;
 
@@ -43,23 +71,51 @@
     engine: Handle,
     facts: Facts,
     effects: Vec<Effect>,
+    deadlines: Vec<Duration>,
     longest: Duration,
-    most: usize,
-    open: Cell<usize>,
+    connections: Rc<Connections>,
+    open_ids: RefCell<FxHashSet<HeaderValue>>,
+    bodies: Cell<usize>,
+    most_bodies: usize,
     stopping: Cell<bool>,
 }
 
+/// The id of a request that is open, for as long as it is.
+struct OpenId<'a> {
+    ids: &'a RefCell<FxHashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Room taken for a body, for as long as the request is open.
+struct Room<'a>(&'a Cell<usize>, usize);
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - self.1);
+    }
+}
+
 impl Front {
     pub fn new(config: &Config, engine: Handle, most: usize) -> Self {
         let settings = config.facts.settings();
-        let longest = settings.classes.iter().map(|c| c.deadline.0.max(0)).max().unwrap_or(0);
+        let deadline = |c: &Class| Duration::from_micros(c.deadline.0.max(0) as u64);
+        let deadlines: Vec<Duration> = settings.classes.iter().map(deadline).collect();
         Self {
             engine,
             facts: config.facts.clone(),
             effects: settings.classes.iter().map(|c| c.effect).collect(),
-            longest: Duration::from_micros(longest as u64),
-            most,
-            open: Cell::new(0),
+            longest: deadlines.iter().max().copied().unwrap_or_default(),
+            deadlines,
+            connections: Connections::new(most),
+            open_ids: RefCell::default(),
+            bodies: Cell::new(0),
+            most_bodies: config.memory / BODIES_OF_MEMORY,
             stopping: Cell::new(false),
         }
     }
@@ -82,7 +138,7 @@
         drop(listener);
         let _ = close.send(true);
         let finished = async {
-            while self.open.get() > 0 {
+            while self.connections.len() > 0 {
                 sleep(Duration::from_millis(5)).await;
             }
         };
@@ -93,14 +149,19 @@
     async fn accept(self: &Rc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
         loop {
             // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
-            if self.open.get() >= self.most {
+            if self.connections.full() {
+                self.connections.evict();
                 sleep(Duration::from_millis(1)).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(self.clone().converse(stream, closing.clone()));
+                    let _ = stream.set_nodelay(true);
+                    let (io, stream, traffic) = Tapped::new(stream);
+                    // It has its place before the next one is accepted.
+                    let seat = self.connections.seat(traffic);
+                    let conversation = self.clone().converse(io, stream, seat, closing.clone());
+                    tokio::task::spawn_local(conversation);
                 }
                 // Guards against EMFILE and aborted connections: neither is a reason to end.
                 Err(cause) => {
@@ -112,26 +173,49 @@
     }
 
     /// All requests of one connection.
-    async fn converse(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
-        let _ = stream.set_nodelay(true);
-        let service = service_fn(|request| self.respond(request));
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let closed = tokio::select! {
-            ended = &mut connection => Some(ended),
-            _ = closing.wait_for(|c| *c) => None,
+    async fn converse(
+        self: Rc<Self>,
+        io: Tapped,
+        stream: Shared,
+        seat: Seat,
+        mut closing: watch::Receiver<bool>,
+    ) {
+        let known = &*seat.connection;
+        let service = service_fn(|request| self.respond(request, known));
+        let ended = {
+            let connection = http1::Builder::new()
+                .header_read_timeout(None) // Each connection's own limits hold.
+                .max_buf_size(HEAD_LIMIT)
+                .max_headers(HEAD_LINES)
+                .serve_connection(TokioIo::new(io), service);
+            tokio::pin!(connection);
+            let mut stopping = false;
+            loop {
+                // The connection first: its limits are judged by what has passed on it.
+                tokio::select! {
+                    biased;
+                    _ = &mut connection => break true,
+                    () = known.outstays() => break false,
+                    _ = closing.wait_for(|c| *c), if !stopping => {
+                        connection.as_mut().graceful_shutdown();
+                        stopping = true;
+                    }
+                }
+            }
         };
-        if closed.is_none() {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        if ended {
+            known.closing();
+            let _ = timeout(LINGER_TIME, read_out(&stream)).await;
         }
-        self.open.set(self.open.get() - 1);
     }
 
-    async fn respond(&self, request: Request<hyper::body::Incoming>) -> Result<Answer, Infallible> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        connection: &Connection,
+    ) -> Result<Answer, Infallible> {
         let arrived = Instant::now();
+        connection.asked();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && !self.stopping.get();
@@ -141,18 +225,36 @@
         } else {
             bare(StatusCode::NOT_FOUND)
         };
-        // Close to the limit, connections are given back so that waiting clients get their turn.
-        if self.stopping.get() || self.open.get() + self.most / 8 >= self.most {
+        // What follows on the connection of a client whose request makes no sense makes none either.
+        if self.stopping.get() || answer.status().is_client_error() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        connection.answered();
         Ok(answer)
     }
 
-    async fn api(&self, request: Request<hyper::body::Incoming>, arrived: Instant) -> Answer {
+    async fn api(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
         let (head, body) = request.into_parts();
-        let read = timeout(self.longest, Limited::new(body, BODY_LIMIT).collect());
-        let Ok(Ok(body)) = read.await else { return malformed("body") };
-        let body = body.to_bytes();
+        if let Err(what) = framed(&head) {
+            return malformed(what);
+        }
+        // With no transfer coding the length is known ahead.
+        let length = body.size_hint().exact().unwrap_or(u64::MAX);
+        if length > BODY_LIMIT as u64 {
+            return bare(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let Some(_room) = self.room(length as usize) else {
+            return bare(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let body = match timeout(BODY_TIME, body.collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return malformed("body"),
+            Err(_) => return bare(StatusCode::REQUEST_TIMEOUT),
+        };
+        // Two requests of one id could not be told apart at an upstream.
+        let Some(_open) = head.headers.get("x-request-id").and_then(|id| self.open_id(id)) else {
+            return bare(StatusCode::CONFLICT);
+        };
         let arrival = match self.arrival(&head, &body, arrived) {
             Ok(arrival) => arrival,
             Err(what) => return malformed(what),
@@ -187,15 +289,27 @@
         }
     }
 
+    fn room(&self, bytes: usize) -> Option<Room<'_>> {
+        let taken = self.bodies.get() + bytes;
+        (taken <= self.most_bodies).then(|| {
+            self.bodies.set(taken);
+            Room(&self.bodies, bytes)
+        })
+    }
+
+    fn open_id(&self, id: &HeaderValue) -> Option<OpenId<'_>> {
+        let new = self.open_ids.borrow_mut().insert(id.clone());
+        new.then(|| OpenId { ids: &self.open_ids, id: id.clone() })
+    }
+
     /// Reads what the module needs to know; the error names what is wrong.
     fn arrival(
         &self,
-        head: &hyper::http::request::Parts,
+        head: &Parts,
         body: &Bytes,
         arrived: Instant,
     ) -> Result<Arrival, &'static str> {
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id")?;
         let class = text("x-class").ok_or("X-Class")?;
         let class = self.facts.services.iter().position(|s| s.name == class).ok_or("X-Class")?;
         let key = head.headers.get("idempotency-key");
@@ -207,9 +321,11 @@
         if !fits {
             return Err("method");
         }
-        let deadline = text("x-deadline-ms").and_then(|v| v.trim().parse::<u64>().ok());
-        let deadline = deadline.filter(|ms| (1..=LONGEST_DEADLINE_MS).contains(ms));
-        let deadline = Duration::from_millis(deadline.ok_or("X-Deadline-Ms")?);
+        let deadline = text("x-deadline-ms").filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+        let deadline = deadline.and_then(|v| v.parse::<u64>().ok()).filter(|ms| *ms > 0);
+        // No client waits longer than its class's deadline, whatever it says.
+        let deadline =
+            Duration::from_millis(deadline.ok_or("X-Deadline-Ms")?).min(self.deadlines[class]);
         let tenant = if self.facts.tenants.is_empty() {
             0
         } else {
@@ -228,6 +344,47 @@
     }
 }
 
+/// Whether the request is framed and named such that nobody behind can read it in another way; the error
+/// names what is wrong. Failure: hyper drops a `Content-Length` beside a `Transfer-Encoding`, so an upstream
+/// could have found a second request in the body. Clients here need no transfer codings.
+fn framed(head: &Parts) -> Result<(), &'static str> {
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err("Transfer-Encoding");
+    }
+    if head.uri.authority().is_some() {
+        return Err("target");
+    }
+    for name in ONCE {
+        if head.headers.get_all(name).iter().nth(1).is_some() {
+            return Err(name);
+        }
+    }
+    let plain = |v: &HeaderValue| v.to_str().is_ok();
+    if !head.headers.contains_key(HOST) || !head.headers.values().all(plain) {
+        return Err("headers");
+    }
+    let id = head.headers.get("x-request-id").map_or(0, HeaderValue::len);
+    if (1..=ID_LIMIT).contains(&id) { Ok(()) } else { Err("X-Request-Id") }
+}
+
+/// Reads what still comes until the client closes too. Failure: closed with something unread, the kernel
+/// resets the connection, and the answer may be lost on its way.
+async fn read_out(stream: &Shared) {
+    let mut scrap = vec![0; HEAD_LIMIT];
+    let mut left = LINGER_BYTES;
+    while left > 0 {
+        let read = poll_fn(|cx| {
+            let mut buf = ReadBuf::new(&mut scrap);
+            let read = Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut buf);
+            read.map_ok(|()| buf.filled().len())
+        });
+        match read.await {
+            Ok(0) | Err(_) => return,
+            Ok(n) => left = left.saturating_sub(n),
+        }
+    }
+}
+
 fn bare(status: StatusCode) -> Answer {
     let mut answer = Response::new(Full::default());
     *answer.status_mut() = status;
--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -12,6 +12,7 @@
 const RESERVED: usize = 24;
 /// Where the platform states no limit.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: usize = 192;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -48,6 +49,7 @@
 #[derive(Deserialize, Default)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 pub struct Config {
@@ -56,6 +58,8 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// In bytes.
+    pub memory: usize,
     pub known: List,
     pub facts: Facts,
 }
@@ -67,7 +71,9 @@
 }
 
 impl Config {
-    pub fn from_env() -> Result<Self, ConfigError> {
+    /// Reads what is stated now. The file may be replaced while the program runs and the environment can't be:
+    /// where both name discovery, the file holds.
+    pub fn read() -> Result<Self, ConfigError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
         let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
         let mut reader = serde_json::Deserializer::from_slice(&text);
@@ -75,12 +81,12 @@
             let field = e.path().to_string();
             ConfigError::Malformed { path, field, cause: e.into_inner().to_string() }
         })?;
-        // The environment and the file say the same; the environment is the platform's first word.
         let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
-        let address = |name: &'static str, file: String| {
-            let value = say(name, file);
+        let address = |name: &'static str, value: String| {
             value.parse().map_err(|_| ConfigError::BadAddress { name, value })
         };
+        let discovery = Some(file.discovery).filter(|d| !d.is_empty());
+        let discovery = discovery.unwrap_or_else(|| say("LB_DISCOVERY", String::new()));
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 4 * RESERVED {
             return Err(ConfigError::TooFewSockets(sockets));
@@ -88,10 +94,11 @@
         let seed = file.seed.unwrap_or_default();
         Ok(Self {
             name: say("LB_NAME", file.name),
-            listen: address("LB_LISTEN", file.listen)?,
-            discovery: address("LB_DISCOVERY", file.discovery)?,
+            listen: address("LB_LISTEN", say("LB_LISTEN", file.listen))?,
+            discovery: address("LB_DISCOVERY", discovery)?,
             seed: hollowpaddle::settings::key_hash(&seed),
             sockets,
+            memory: file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20,
             known: file.known,
             facts: file.settings,
         })
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -34,11 +34,27 @@
 
 /// What the engine is told.
 pub enum Note {
-    Arrived { id: RequestId, arrival: Arrival, forward: Forward, reply: oneshot::Sender<Reply> },
+    Arrived {
+        id: RequestId,
+        arrival: Arrival,
+        forward: Forward,
+        reply: oneshot::Sender<Reply>,
+    },
     Left(RequestId),
-    Ended { id: RequestId, attempt: usize, ended: Ended },
-    Listed { serial: u64, list: List },
-    WatchEnded { serial: u64 },
+    Ended {
+        id: RequestId,
+        attempt: usize,
+        ended: Ended,
+    },
+    Listed {
+        serial: u64,
+        list: List,
+    },
+    WatchEnded {
+        serial: u64,
+    },
+    /// Discovery is at this address from now on.
+    Moved(SocketAddr),
 }
 
 /// A request as the module needs to know it.
@@ -72,6 +88,12 @@
         self.ready.get()
     }
 
+    /// Tells the engine where discovery is now.
+    pub fn reloader(&self) -> impl Fn(SocketAddr) + use<> {
+        let notes = self.notes.clone();
+        move |discovery| drop(notes.send(Note::Moved(discovery)))
+    }
+
     /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
     pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
         let id = RequestId(self.next.replace(self.next.get() + 1));
@@ -273,6 +295,7 @@
                     self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
                 }
             }
+            Note::Moved(discovery) => self.moved(discovery),
             Note::WatchEnded { serial } => {
                 if serial == self.watch_serial {
                     self.watch = None;
@@ -373,6 +396,20 @@
         self.tell(Event::Members { kind, list: &members });
     }
 
+    /// Follows discovery to another address; upstreams, connections and all that was learned stay.
+    fn moved(&mut self, discovery: SocketAddr) {
+        if self.discovery == discovery {
+            tracing::info!("the configuration names the same discovery");
+            return;
+        }
+        tracing::info!(%discovery, "discovery moved");
+        self.discovery = discovery;
+        // Another agent counts in its own way: asked for what follows our revision, it could keep silent about
+        // all that it has. From 0 on it tells everything.
+        self.revision = 0;
+        self.subscribe();
+    }
+
     fn subscribe(&mut self) {
         self.watch_serial += 1;
         let watch = discovery::watch(
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -6,8 +6,10 @@
 
 mod clients;
 mod config;
+mod connections;
 mod discovery;
 mod engine;
+mod stream;
 mod upstreams;
 
 use std::process::ExitCode;
@@ -34,14 +36,16 @@
 }
 
 fn start() -> Result<(), String> {
-    let config = Config::from_env().map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run())
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run() -> Result<(), String> {
+    // Before all else: until there is a handler, the signal ends the process.
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let config = Config::read().map_err(|e| e.to_string())?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let budget = config.budget();
@@ -51,6 +55,17 @@
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
+    let reload = handle.reloader();
+    let reloads = async move {
+        while hangup.recv().await.is_some() {
+            // A file that can't be used must not cost the service that runs.
+            match Config::read() {
+                Ok(new) => reload(new.discovery),
+                Err(cause) => tracing::error!("the old configuration stays: {cause}"),
+            }
+        }
+    };
+    tokio::task::spawn_local(reloads);
     let front = Rc::new(Front::new(&config, handle, budget.clients));
     let serve = front.serve(listener, async move {
         term.recv().await;
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -1,31 +1,27 @@
 //! Attempts at upstreams, and the connections kept for them.
 
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hollowpaddle::interface::{Outcome, Report, ServerId};
 use hollowpaddle::settings::Field;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::clients::BODY_LIMIT;
+use crate::clients::{BODY_LIMIT, HEAD_LIMIT, HEAD_LINES};
 use crate::config::Config;
+use crate::stream::{Tapped, Traffic, still_quiet};
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
 /// close would end as a reset, which no unsafe request survives.
@@ -74,66 +70,12 @@
     pub closed_from: Cell<Option<Instant>>,
 }
 
-/// Bytes handed to the kernel on a connection. What was not handed over cannot have run.
-#[derive(Clone, Default)]
-struct Written(Rc<Cell<u64>>);
-
-/// A stream that counts what is written.
-struct Counted {
-    inner: Rc<RefCell<TokioIo<TcpStream>>>,
-    written: Written,
-}
-
-impl Read for Counted {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf)
-    }
-}
-
-impl Write for Counted {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf))?;
-        self.written.0.set(self.written.0.get() + n as u64);
-        Poll::Ready(Ok(n))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs))?;
-        self.written.0.set(self.written.0.get() + n as u64);
-        Poll::Ready(Ok(n))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.borrow().is_write_vectored()
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 /// A connection that no attempt is using, or that one attempt is.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    written: Written,
+    traffic: Traffic,
     /// Gone once the connection has ended.
-    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    stream: Weak<RefCell<TcpStream>>,
     address: SocketAddr,
     idle_since: Instant,
     _connection: AbortOnDrop,
@@ -143,10 +85,7 @@
     /// Guards against a close that has arrived and that the connection's own task has not been woken for yet:
     /// when it came in the same moment as a request, the request was written first, and was lost as a reset.
     fn still_open(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else { return false };
-        let stream = stream.borrow();
-        let peeked = SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        still_quiet(&self.stream)
     }
 }
 
@@ -263,18 +202,21 @@
         let connect = timeout(self.connect_timeout, TcpStream::connect(address));
         let stream = connect.await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let written = Written::default();
-        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
-        let weak = Rc::downgrade(&stream);
-        let io = Counted { inner: stream, written: written.clone() };
-        let (sender, connection) = http1::handshake(io).await.ok()?;
+        let (io, stream, traffic) = Tapped::new(stream);
+        let stream = Rc::downgrade(&stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(HEAD_LIMIT)
+            .max_headers(HEAD_LINES)
+            .handshake(TokioIo::new(io))
+            .await
+            .ok()?;
         let task = tokio::task::spawn_local(async move {
             let _open = open;
             let _ = connection.await;
         });
         let idle_since = Instant::now();
         let _connection = AbortOnDrop(task);
-        Some(Link { sender, written, stream: weak, address, idle_since, _connection })
+        Some(Link { sender, traffic, stream, address, idle_since, _connection })
     }
 
     /// One attempt: at most one request reaches the wire. `live` is asked right before it does.
@@ -324,7 +266,8 @@
             let Some(request) = forward.request(until, sent) else {
                 return Ended::bare(Outcome::Moot);
             };
-            sent.start(&link.written);
+            sent.start(&link.traffic);
+            link.traffic.look_before_writing();
             let answer = match link.sender.send_request(request).await {
                 Ok(answer) => answer,
                 // A kept connection that closed before a byte went out is no attempt yet.
@@ -345,6 +288,10 @@
     ) -> Ended {
         let (head, body) = answer.into_parts();
         let report = report(&self.fields, &head.headers);
+        // Said to be larger than any answer may be: not worth the reading.
+        if body.size_hint().lower() > BODY_LIMIT as u64 {
+            return Ended { report, ..Ended::bare(Outcome::Reset) };
+        }
         let body = match Limited::new(body, BODY_LIMIT).collect().await {
             Ok(body) => body.to_bytes(),
             // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
@@ -386,17 +333,17 @@
 /// How much of a request was handed to the kernel.
 #[derive(Default)]
 struct Sent {
-    written: Option<(Written, u64)>,
+    written: Option<(Traffic, u64)>,
     /// It has this many bytes at least.
     size: u64,
 }
 
 impl Sent {
-    fn start(&mut self, written: &Written) {
-        self.written = Some((written.clone(), written.0.get()));
+    fn start(&mut self, traffic: &Traffic) {
+        self.written = Some((traffic.clone(), traffic.written()));
     }
     fn bytes(&self) -> u64 {
-        self.written.as_ref().map_or(0, |(w, from)| w.0.get() - from)
+        self.written.as_ref().map_or(0, |(traffic, from)| traffic.written() - from)
     }
     fn untouched(&self) -> bool {
         self.bytes() == 0
@@ -452,16 +399,16 @@
         };
         let mut sent = Sent::default();
         assert!(sent.untouched() && sent.never_whole(), "no connection yet");
-        let written = Written::default();
-        written.0.set(1000); // An earlier request on the same connection.
+        let traffic = Traffic::default();
+        traffic.count_written(1000); // An earlier request on the same connection.
         assert!(forward.request(Instant::now(), &mut sent).is_some());
-        sent.start(&written);
+        sent.start(&traffic);
         assert!(sent.untouched() && sent.never_whole());
-        written.0.set(1000 + 10);
+        traffic.count_written(10);
         assert!(!sent.untouched() && sent.never_whole(), "head and body are longer than the body");
         // `POST /api HTTP/1.1`, X-Deadline-Ms and the body, and not a byte less.
         let whole = "POST /api HTTP/1.1\r\nx-deadline-ms: 0\r\n\r\n0123456789".len();
-        written.0.set(1000 + whole as u64);
+        traffic.count_written(whole - 10);
         assert!(!sent.never_whole());
     }
 }
--- a/tests/stubs/mod.rs
+++ b/tests/node/mod.rs
@@ -290,6 +290,12 @@
         panic!("the node goes on");
     }
 
+    /// Replaces its configuration, and tells it so.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("written");
+        self.signal("HUP");
+    }
+
     /// Sends it a signal, by its name.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- /dev/null
+++ b/tests/node/stubs.rs
@@ -0,0 +1,346 @@
+//! The node as a process, between stand-ins for a client, upstreams and discovery. All on ephemeral
+//! loopback ports; tests wait for events, with a limit wide enough for a busy machine.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Longest wait for anything that has to happen.
+pub const SOON: Duration = Duration::from_secs(20);
+
+/// A message as it came: its first line, headers with lower-case names, and body.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).expect("a status").parse().expect("a number")
+    }
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// Reads one message; `None` where the connection ends first.
+pub fn read_message(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut line = || {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        Some(line.trim_end().to_string())
+    };
+    let first = line()?;
+    let mut headers = HashMap::new();
+    loop {
+        let line = line()?;
+        let Some((name, value)) = line.split_once(':') else { break };
+        headers.insert(name.to_lowercase(), value.trim().to_string());
+    }
+    let length = headers.get("content-length").map_or(0, |v| v.parse().expect("a length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Message { first, headers, body })
+}
+
+/// What an upstream does with a request.
+#[derive(Clone)]
+pub enum Does {
+    /// Writes this, and keeps the connection.
+    Answers(String),
+    /// Writes this, and closes the connection.
+    Ends(String),
+    /// Writes this, and closes the connection once it is told to.
+    EndsLater(String, Arc<std::sync::Mutex<Receiver<()>>>),
+    /// Nothing, on an open connection.
+    Hangs,
+    /// Answers once it is told to.
+    Waits(Arc<std::sync::Mutex<Receiver<()>>>),
+}
+
+pub fn ok(body: &str) -> Does {
+    Does::Answers(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+pub fn answers(status: &str, headers: &str) -> Does {
+    Does::Answers(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n"))
+}
+
+/// What was seen at an upstream, in order.
+#[derive(Debug)]
+pub enum Seen {
+    Request(SocketAddr, Message),
+    Closed,
+}
+
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub seen: Receiver<Seen>,
+}
+
+impl Upstream {
+    pub fn start(does: impl Fn(&Message) -> Does + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, seen) = channel();
+        let does = Arc::new(does);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, tell, does) = (stream.expect("accepted"), tell.clone(), does.clone());
+                thread::spawn(move || {
+                    let peer = stream.peer_addr().expect("a peer");
+                    converse(stream, peer, &tell, &*does);
+                    let _ = tell.send(Seen::Closed);
+                });
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// The next request, past whatever else is seen.
+    pub fn request(&self) -> (SocketAddr, Message) {
+        loop {
+            match self.seen.recv_timeout(SOON).expect("a request") {
+                Seen::Request(from, message) => return (from, message),
+                _ => continue,
+            }
+        }
+    }
+
+    /// All requests seen so far and not yet taken.
+    pub fn requests_so_far(&self) -> usize {
+        self.seen.try_iter().filter(|s| matches!(s, Seen::Request(..))).count()
+    }
+}
+
+fn converse(
+    stream: TcpStream,
+    peer: SocketAddr,
+    tell: &Sender<Seen>,
+    does: &dyn Fn(&Message) -> Does,
+) {
+    let mut out = stream.try_clone().expect("a second handle");
+    let mut reader = BufReader::new(stream);
+    while let Some(message) = read_message(&mut reader) {
+        let _ = tell.send(Seen::Request(peer, message.clone()));
+        match does(&message) {
+            Does::Answers(text) => out.write_all(text.as_bytes()).unwrap_or(()),
+            Does::Ends(text) => {
+                let _ = out.write_all(text.as_bytes());
+                return;
+            }
+            Does::EndsLater(text, go) => {
+                let _ = out.write_all(text.as_bytes());
+                let _ = go.lock().expect("not poisoned").recv_timeout(SOON);
+                return;
+            }
+            Does::Hangs => {}
+            Does::Waits(go) => {
+                let _ = go.lock().expect("not poisoned").recv_timeout(SOON);
+                let _ = out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+            }
+        }
+    }
+}
+
+/// Discovery: tells each watch's request line, and hands over its connection, head written.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub watches: Receiver<(String, TcpStream)>,
+}
+
+impl Discovery {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, watches) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.expect("accepted");
+                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                let Some(call) = read_message(&mut reader) else { continue };
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let _ = stream.write_all(head.as_bytes());
+                let _ = tell.send((call.first, stream));
+            }
+        });
+        Self { address, watches }
+    }
+
+    pub fn watch(&self) -> (String, TcpStream) {
+        self.watches.recv_timeout(SOON).expect("a watch")
+    }
+}
+
+/// Writes a piece of a watch as one chunk.
+pub fn chunk(stream: &mut TcpStream, text: &str) {
+    let framed = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(framed.as_bytes()).expect("the watch is open");
+}
+
+pub fn member(id: &str, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": "m", "cell": 0,
+        "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+pub fn members(upstreams: &[&Upstream]) -> Vec<Value> {
+    let name = |(i, u): (usize, &&Upstream)| member(&format!("s-{i}"), u.address, "SERVING");
+    upstreams.iter().enumerate().map(name).collect()
+}
+
+pub fn config(known: Vec<Value>) -> Value {
+    json!({
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 41, "complete": true, "members": known},
+        "settings": {
+            "Balancers": 1, "Position": 0, "Zone": 0, "Zones": ["a"], "MachineTypes": ["m"],
+            "Tick": 1.0, "RegistryMode": "subscribe",
+            "Services": [
+                {"Name": "read", "Aim": 2000.0, "Deadline": 6000.0, "Effect": "retryable"},
+                {"Name": "log", "Aim": 2000.0, "Deadline": 6000.0, "Effect": "dedup",
+                    "Group": "cell", "Window": 10000.0},
+                {"Name": "alarm", "Aim": 2000.0, "Deadline": 6000.0, "Effect": "fragile"},
+            ],
+            "PolicyLimits": {"MaxAttempts": 3, "RetryAfter": true, "MaxRetryAfter": 2000.0,
+                "ConnectTimeout": 250.0, "Keepalive": 5000.0, "StreamsPerConn": 1},
+            "Safety": {"Cold": 5000.0, "ColdFrom": 0.2, "FallMultiple": 3.0, "TipAfter": 1000.0,
+                "DrainGrace": 500.0, "AnswerSlack": 20.0, "AskEvery": 2000.0},
+            "Stats": {"How": "piggyback", "Names": ["eps", "qps", "inflight"]},
+        },
+    })
+}
+
+pub struct Node {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub discovery: Discovery,
+    config: std::path::PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub const NODE: &str = env!("CARGO_BIN_EXE_hollowpaddle");
+
+pub fn write_config(config: &str) -> std::path::PathBuf {
+    static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let name = format!("hollowpaddle-{}-{n}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config).expect("a temporary file");
+    path
+}
+
+impl Node {
+    pub fn start(config: &Value) -> Self {
+        Self::start_by(Command::new(NODE), config)
+    }
+
+    /// Starts it by this command, and waits until it listens.
+    pub fn start_by(mut command: Command, config: &Value) -> Self {
+        let discovery = Discovery::start();
+        let path = write_config(&config.to_string());
+        let mut child = command
+            .env("LB_NAME", "n0")
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", discovery.address.to_string())
+            .env("LB_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let address = loop {
+            let line = log.next().expect("a word of where it listens").expect("UTF-8");
+            if let Some((_, rest)) = line.split_once("listening on ") {
+                break rest.split_whitespace().next().expect("an address").parse().expect("valid");
+            }
+        };
+        // The pipe must not fill up.
+        thread::spawn(move || log.for_each(|l| eprintln!("node: {}", l.unwrap_or_default())));
+        Self { child, address, discovery, config: path }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::to(self.address)
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let from = Instant::now();
+        while from.elapsed() < SOON {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the node goes on");
+    }
+
+    /// Replaces its configuration, and tells it so.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("written");
+        self.signal("HUP");
+    }
+
+    /// Sends it a signal, by its name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("sh").args(["-c", "kill -\"$1\" \"$0\"", &pid, name]).status();
+        assert!(sent.expect("a shell").success());
+    }
+}
+
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn to(address: SocketAddr) -> Self {
+        Self::try_to(address).expect("it accepts")
+    }
+    pub fn try_to(address: SocketAddr) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(SOON))?;
+        Ok(Self(BufReader::new(stream)))
+    }
+    pub fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    }
+    /// The next answer; `None` where the connection ends first.
+    pub fn answer(&mut self) -> Option<Message> {
+        read_message(&mut self.0)
+    }
+    pub fn ask(&mut self, text: &str) -> Message {
+        self.send(text);
+        self.answer().expect("an answer")
+    }
+}
+
+/// A request of the class that is safe to repeat.
+pub fn read(id: &str, deadline_ms: u64) -> String {
+    format!(
+        "GET /api?of={id} HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\nX-Class: read\r\n\
+         Cookie: sid=7f3a9c21e0b4d655\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    )
+}
+
+/// A request that must never run twice.
+pub fn alarm(id: &str, deadline_ms: u64, body: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\nX-Class: alarm\r\n\
+         X-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
