Forget upstreams that are gone

Cause: Upstreams.ids and targets, and the module's servers and by_id, kept every id ever seen, and every list and pick walked them. The engine now drops one that is gone and that no attempt looks at, with its idle links; the module once no request was sent there, since a keyed repeat's group is judged by it. Handles are counted up and never used twice. Links to what drains are not kept, and absurd load figures not believed. Room in the module: plain records moved to state.rs.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -394,6 +394,7 @@
         let members = self.upstreams.update(list, kind, &self.pool);
         self.ready.set(self.upstreams.any_open());
         self.tell(Event::Members { kind, list: &members });
+        self.upstreams.forget(&self.pool);
     }
 
     /// Follows discovery to another address; upstreams, connections and all that was learned stay.
@@ -497,20 +498,29 @@
     }
 }
 
-/// The upstreams that the list has named, by the module's handle.
+/// The upstreams that the list has named, by the module's handle. Failure: none was ever forgotten, and every
+/// list walked all ids of the day.
 struct Upstreams {
     ids: FxHashMap<String, ServerId>,
-    targets: Vec<Rc<Target>>,
+    targets: FxHashMap<ServerId, Known>,
+    /// A handle is never used twice, or news of one that is gone would be taken for another's.
+    next: u32,
     zones: Vec<String>,
     kinds: Vec<String>,
     grace: Duration,
 }
 
+struct Known {
+    target: Rc<Target>,
+    gone: bool,
+}
+
 impl Upstreams {
     fn new(config: &Config, grace: Duration) -> Self {
         Self {
             ids: FxHashMap::default(),
-            targets: Vec::new(),
+            targets: FxHashMap::default(),
+            next: 0,
             zones: config.facts.zones.clone(),
             kinds: config.facts.machine_types.clone(),
             grace,
@@ -518,11 +528,11 @@
     }
 
     fn target(&self, server: ServerId) -> Option<Rc<Target>> {
-        self.targets.get(server.0 as usize).cloned()
+        self.targets.get(&server).map(|k| k.target.clone())
     }
 
     fn any_open(&self) -> bool {
-        self.targets.iter().any(|t| t.closed_from.get().is_none())
+        self.targets.values().any(|k| k.target.closed_from.get().is_none())
     }
 
     /// Takes in a list and puts it into the module's words.
@@ -531,44 +541,60 @@
         let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
         if kind != ListKind::Update {
             // What a whole list leaves out is gone.
-            let named: Vec<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
-            let named: rustc_hash::FxHashSet<&str> = named.into_iter().collect();
-            for (name, id) in &self.ids {
-                if !named.contains(name.as_str()) {
-                    close(&self.targets[id.0 as usize]);
-                }
+            for known in self.targets.values_mut() {
+                known.gone = true;
             }
         }
         let mut members = Vec::with_capacity(list.members.len());
         for entry in &list.members {
+            if entry.phase == Phase::Deleted && !self.ids.contains_key(&entry.id) {
+                continue;
+            }
             // Without a valid address the last one stands: that it drains must not be lost with it.
-            let known = self.ids.get(&entry.id).map(|id| self.targets[id.0 as usize].address.get());
+            let known = self.ids.get(&entry.id).and_then(|id| self.targets.get(id));
+            let known = known.map(|k| k.target.address.get());
             let Some(address) = entry.host_port.parse().ok().or(known) else {
                 tracing::warn!(id = entry.id, address = entry.host_port, "no such address");
                 continue;
             };
             let id = self.id(entry, address);
-            let target = &self.targets[id.0 as usize];
-            if target.address.replace(address) != address {
+            let Some(known) = self.targets.get_mut(&id) else { continue };
+            if known.target.address.replace(address) != address {
                 pool.close_idle(id);
             }
+            known.gone = entry.phase == Phase::Deleted;
             match entry.phase {
-                Phase::Serving => target.closed_from.set(None),
-                Phase::Draining | Phase::Deleted | Phase::Unknown => close(target),
+                Phase::Serving => known.target.closed_from.set(None),
+                Phase::Draining | Phase::Deleted | Phase::Unknown => close(&known.target),
             }
             members.push(self.member(id, entry));
         }
+        self.targets.values().filter(|k| k.gone).for_each(|k| close(&k.target));
         members
     }
 
+    /// Drops what is gone and has no attempt left that looks at it.
+    fn forget(&mut self, pool: &Pool) {
+        self.targets.retain(|id, known| {
+            let keep = !known.gone || Rc::strong_count(&known.target) > 1;
+            if !keep {
+                pool.close_idle(*id);
+            }
+            keep
+        });
+        self.ids.retain(|_, id| self.targets.contains_key(id));
+    }
+
     fn id(&mut self, entry: &Entry, address: SocketAddr) -> ServerId {
         if let Some(id) = self.ids.get(&entry.id) {
             return *id;
         }
-        let id = ServerId(self.targets.len() as u32);
+        let id = ServerId(self.next);
+        self.next += 1;
         self.ids.insert(entry.id.clone(), id);
         let (address, closed_from) = (Cell::new(address), Cell::new(None));
-        self.targets.push(Rc::new(Target { address, closed_from }));
+        let target = Rc::new(Target { address, closed_from });
+        self.targets.insert(id, Known { target, gone: false });
         id
     }
 
@@ -593,3 +619,70 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn config() -> Config {
+        let facts = json!({"Balancers": 1, "Tick": 1.0, "RegistryMode": "subscribe", "Services": [],
+            "PolicyLimits": {"MaxAttempts": 3},
+            "Safety": {"Cold": 0.0, "ColdFrom": 1.0, "FallMultiple": 1.0, "TipAfter": 0.0}});
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        Config {
+            name: String::new(),
+            listen: nowhere,
+            discovery: nowhere,
+            seed: 0,
+            sockets: 256,
+            memory: 32 << 20,
+            known: List::default(),
+            facts: serde_json::from_value(facts).expect("facts"),
+        }
+    }
+
+    #[tokio::test]
+    async fn upstreams_come_and_go_and_no_handle_is_used_twice() {
+        let config = config();
+        let pool = tokio::task::LocalSet::new().run_until(async { Pool::new(1, &config) }).await;
+        let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
+        let mut told = |id: String, phase: &str, kind| {
+            let list = json!({"members": [{"id": id, "host_port": "127.0.0.1:1", "phase": phase}]});
+            let list = serde_json::from_value(list).expect("a list");
+            let members = upstreams.update(&list, kind, &pool);
+            upstreams.forget(&pool);
+            (members.first().map(|m| m.id), upstreams.ids.len(), upstreams.targets.len())
+        };
+        let mut seen = std::collections::HashSet::new();
+        for i in 0..2000 {
+            // New ids at one address, gone by word or by being left out.
+            let (id, ids, targets) = told(format!("s-{i}"), "SERVING", ListKind::Whole);
+            assert_eq!((ids, targets), (1, 1));
+            assert!(seen.insert(id.expect("a member")), "a handle is used again");
+            if i % 2 == 0 {
+                let (_, ids, targets) = told(format!("s-{i}"), "DELETED", ListKind::Update);
+                assert_eq!((ids, targets), (0, 0));
+            }
+        }
+        assert_eq!(told("never-seen".to_string(), "DELETED", ListKind::Update).0, None);
+    }
+
+    #[tokio::test]
+    async fn what_an_attempt_still_looks_at_is_kept_and_stays_closed() {
+        let config = config();
+        let pool = tokio::task::LocalSet::new().run_until(async { Pool::new(1, &config) }).await;
+        let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
+        let list =
+            json!({"members": [{"id": "a", "host_port": "127.0.0.1:1", "phase": "SERVING"}]});
+        let list = serde_json::from_value(list).expect("a list");
+        let id = upstreams.update(&list, ListKind::Whole, &pool)[0].id;
+        let out = upstreams.target(id).expect("known");
+        upstreams.update(&List::default(), ListKind::Whole, &pool);
+        upstreams.forget(&pool);
+        assert!(out.closed_from.get().is_some() && upstreams.target(id).is_some());
+        drop(out);
+        upstreams.forget(&pool);
+        assert!(upstreams.target(id).is_none() && upstreams.ids.is_empty());
+    }
+}
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -30,6 +30,8 @@
 const REAP_EVERY: Duration = Duration::from_millis(250);
 /// How long a connection may take to be ready again once its answer is whole.
 const READY: Duration = Duration::from_millis(10);
+/// No figure of a load report lies outside of this.
+const PLAUSIBLE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 
 /// A task that ends with its owner, and closes what it holds.
 pub struct AbortOnDrop(pub JoinHandle<()>);
@@ -275,7 +277,7 @@
                 Err(_) if sent.never_whole() => return Ended::bare(Outcome::ConnectFailed),
                 Err(_) => return Ended::bare(Outcome::Reset),
             };
-            return self.answer(server, link, answer).await;
+            return self.answer(server, target, link, answer).await;
         }
     }
 
@@ -283,6 +285,7 @@
     async fn answer(
         &self,
         server: ServerId,
+        target: &Target,
         mut link: Link,
         answer: Response<hyper::body::Incoming>,
     ) -> Ended {
@@ -297,7 +300,9 @@
             // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
             Err(_) => return Ended { report, ..Ended::bare(Outcome::Reset) },
         };
-        if let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
+        // To one that drains or is gone nothing more will be sent.
+        let open = target.closed_from.get().is_none();
+        if open && let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
             link.idle_since = Instant::now();
             self.put(server, link);
         }
@@ -323,7 +328,7 @@
         let Some((name, value)) = pair.split_once('=') else { continue };
         let Ok(value) = value.trim().parse::<f64>() else { continue };
         let known = fields.iter().find(|(n, _)| n == name.trim());
-        if let Some((_, field)) = known.filter(|_| value.is_finite()) {
+        if let Some((_, field)) = known.filter(|_| PLAUSIBLE.contains(&value)) {
             field.set(&mut report, value);
         }
     }
@@ -386,6 +391,7 @@
         };
         assert_eq!(read("TEXT eps=0.5, qps=140, inflight=7"), (Some(0.5), Some(140.0), Some(7.0)));
         assert_eq!(read("TEXT inflight=7,queue=2, qps=NaN, eps=x,"), (None, None, Some(7.0)));
+        assert_eq!(read("TEXT eps=-1, qps=1e300, inflight=0"), (None, None, Some(0.0)));
         assert_eq!(read("JSON {\"eps\": 1}"), (None, None, None));
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use oorandom::Rand64;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::interface::*;
 use crate::state::*;
@@ -234,17 +234,6 @@
     level: Vec<Level>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Level {
-    /// This round: time spent at the level, and work done there.
-    time: f64,
-    done: f64,
-    /// Of all rounds: work done, and what the level in use would have done in that time. A fleet that slows
-    /// down as a whole changes neither against the other.
-    all: f64,
-    expected: f64,
-}
-
 impl Lanes {
     fn new() -> Self {
         Self { count: 1, level: vec![Level::default(); MOST_LANES + 1] }
@@ -1032,13 +1021,6 @@
 
 // ---------------------------------------------------------------- tenants
 
-/// A tenant's share at this proxy, as a bucket of requests.
-#[derive(Debug)]
-struct Quota {
-    tokens: f64,
-    counted: Time,
-}
-
 impl Balancer {
     /// Whether one more request of this tenant is within its share; what is refused uses up none.
     fn in_share(&mut self, now: Time, tenant: usize) -> bool {
@@ -1055,14 +1037,6 @@
 
 // ---------------------------------------------------------------- membership and time
 
-/// Where the list must be asked: when to ask next.
-#[derive(Debug)]
-struct Asking {
-    subscribed: bool,
-    next: Time,
-    failures: i32,
-}
-
 const SWEEP: u64 = 1;
 
 impl Balancer {
@@ -1194,6 +1168,7 @@
                 self.close_idle(now, i, out);
             }
         }
+        self.forget(now);
         for r in 0..self.rooms.len() {
             let open = self.servers.iter().filter(|s| self.open_to(self.rooms[r].class, s));
             self.rooms[r].in_flight = open.map(|s| s.in_flight as usize).sum();
@@ -1204,6 +1179,26 @@
         self.dispatch(now, out);
     }
 
+    /// Drops upstreams that are gone, unless a request was sent there: whether it may be repeated elsewhere is
+    /// judged by them. Failure: where machines come and go, all there ever were stayed on every walk.
+    fn forget(&mut self, now: Time) {
+        let sent = self.requests.values().flat_map(|e| &e.attempts);
+        let sent: FxHashSet<usize> = sent.map(|a| a.server).collect();
+        let (mut i, mut places) = (0, FxHashMap::default());
+        self.servers.retain(|s| {
+            let keep = s.status != Status::Gone || now < s.close_until || sent.contains(&i);
+            if keep {
+                places.insert(i, places.len());
+            }
+            i += 1;
+            keep
+        });
+        for a in self.requests.values_mut().flat_map(|e| &mut e.attempts) {
+            a.server = places[&a.server];
+        }
+        self.by_id = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
+    }
+
     /// Lays the upstreams of each zone on a ring, and this proxy at its own point of it. The points of any
     /// run of proxies, or of every n-th, are spread evenly (multiples of the golden ratio).
     fn draw_parts(&mut self) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,33 @@
     pub(crate) n_per_time: f64,
 }
 
+/// A tenant's share at this proxy, as a bucket of requests.
+#[derive(Debug)]
+pub(crate) struct Quota {
+    pub(crate) tokens: f64,
+    pub(crate) counted: Time,
+}
+
+/// Where the list must be asked: when to ask next.
+#[derive(Debug)]
+pub(crate) struct Asking {
+    pub(crate) subscribed: bool,
+    pub(crate) next: Time,
+    pub(crate) failures: i32,
+}
+
+/// What is known of so many requests side by side at upstreams of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Level {
+    /// This round: time spent at the level, and work done there.
+    pub(crate) time: f64,
+    pub(crate) done: f64,
+    /// Of all rounds: work done, and what the level in use would have done in that time. A fleet that slows
+    /// down as a whole changes neither against the other.
+    pub(crate) all: f64,
+    pub(crate) expected: f64,
+}
+
 impl Entry {
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -369,3 +369,27 @@
     w.balancer.handle(w.now, Event::Started(RequestId(999)), &mut out);
     assert!(out.is_empty());
 }
+
+#[test]
+fn what_is_gone_is_forgotten_once_no_request_is_judged_by_it() {
+    let mut w = World::with_servers(settings(), 2);
+    w.request(1, KEYED);
+    let first = w.out(1).expect("sent");
+    let known = |w: &World| {
+        (0..3000).filter(|id| w.balancer.upstream(ServerId(*id), Span(MS)).is_some()).count()
+    };
+    for id in 2..3000 {
+        w.list(ListKind::Whole, &[member(id, 5)]);
+    }
+    assert!(w.balancer.upstream(first, Span(MS)).is_some(), "the repeat's group is judged by it");
+    assert_eq!(known(&w), 2);
+    w.outcome(1, 0, Outcome::Error);
+    assert!(w.failed(1), "no live upstream would drop the repeat");
+    w.list(ListKind::Update, &[member(2999, 5)]);
+    assert_eq!(known(&w), 1);
+    // And one that comes back is as any other.
+    w.list(ListKind::Update, &[member(first.0, 0)]);
+    w.request(2, KEYED);
+    w.request(3, KEYED);
+    assert_eq!((w.sends_to(first.0), w.sends_to(2999)), (2, 1));
+}
