--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,4 +4,5 @@
 mod bad_clients;
 mod reload;
 mod serving;
+mod spoilt;
 mod stubs;
--- a/tests/node/stubs.rs
+++ b/tests/node/stubs.rs
@@ -61,6 +61,8 @@
     Ends(String),
     /// Writes this, and closes the connection once it is told to.
     EndsLater(String, Arc<std::sync::Mutex<Receiver<()>>>),
+    /// Writes this, and the same again once it is told to.
+    AnswersTwice(String, Arc<std::sync::Mutex<Receiver<()>>>),
     /// Nothing, on an open connection.
     Hangs,
     /// Answers once it is told to.
@@ -79,6 +81,8 @@
 #[derive(Debug)]
 pub enum Seen {
     Request(SocketAddr, Message),
+    /// A second copy of an answer is out.
+    Wrote,
     Closed,
 }
 
@@ -143,6 +147,12 @@
                 let _ = go.lock().expect("not poisoned").recv_timeout(SOON);
                 return;
             }
+            Does::AnswersTwice(text, go) => {
+                let _ = out.write_all(text.as_bytes());
+                let _ = go.lock().expect("not poisoned").recv_timeout(SOON);
+                let _ = out.write_all(text.as_bytes());
+                let _ = tell.send(Seen::Wrote);
+            }
             Does::Hangs => {}
             Does::Waits(go) => {
                 let _ = go.lock().expect("not poisoned").recv_timeout(SOON);
