--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -71,8 +71,8 @@
 }
 
 impl Config {
-    /// Reads what is stated now. The file may be replaced while the program runs and the environment can't be:
-    /// where both name discovery, the file holds.
+    /// Reads what is stated now. The file may be replaced while the program runs and the environment can't
+    /// be: where both name discovery, the file holds.
     pub fn read() -> Result<Self, ConfigError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
         let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -405,8 +405,8 @@
         }
         tracing::info!(%discovery, "discovery moved");
         self.discovery = discovery;
-        // Another agent counts in its own way: asked for what follows our revision, it could keep silent about
-        // all that it has. From 0 on it tells everything.
+        // Another agent counts in its own way: asked for what follows our revision, it could keep silent
+        // about all that it has. From 0 on it tells everything.
         self.revision = 0;
         self.subscribe();
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1179,8 +1179,8 @@
         self.dispatch(now, out);
     }
 
-    /// Drops upstreams that are gone, unless a request was sent there: whether it may be repeated elsewhere is
-    /// judged by them. Failure: where machines come and go, all there ever were stayed on every walk.
+    /// Drops upstreams that are gone, unless a request was sent there: whether it may be repeated elsewhere
+    /// is judged by them. Failure: where machines come and go, all there ever were stayed on every walk.
     fn forget(&mut self, now: Time) {
         let sent = self.requests.values().flat_map(|e| &e.attempts);
         let sent: FxHashSet<usize> = sent.map(|a| a.server).collect();
