Close clients' idle connections once many are in use, the longest idle first

Cause: clients may open a third of the descriptors for requests. Those that ask once and keep their connection held all of it, and the next request found none until one was closed after KEPT (2 s, at the cap) or IDLE (4 s). To blame: connections.rs, where the time that a connection may idle did not depend on how many there are. Ruled out: the module (it refused some ten of 300 a second), the room for bodies, faults of upstreams, and the cap on all connections (180, reached only at times). Now no more than a quarter of the descriptors are in use while some of them idle; one whose answer is not written yet does not idle, and a request that crosses with the word to give way is served.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -27,8 +27,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::config::Config;
-use crate::connections::{Connection, Connections, Seat};
+use crate::config::{Budget, Config};
+use crate::connections::{Connections, Seat};
 use crate::engine::{Arrival, Handle, Reply};
 use crate::stream::{Shared, Tapped};
 use crate::upstreams::Forward;
@@ -102,7 +102,7 @@
 }
 
 impl Front {
-    pub fn new(config: &Config, engine: Handle, most: usize) -> Self {
+    pub fn new(config: &Config, engine: Handle, budget: &Budget) -> Self {
         let settings = config.facts.settings();
         let deadline = |c: &Class| Duration::from_micros(c.deadline.0.max(0) as u64);
         let deadlines: Vec<Duration> = settings.classes.iter().map(deadline).collect();
@@ -112,7 +112,7 @@
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             longest: deadlines.iter().max().copied().unwrap_or_default(),
             deadlines,
-            connections: Connections::new(most),
+            connections: Connections::new(budget.clients, budget.clients_at_ease),
             open_ids: RefCell::default(),
             bodies: Cell::new(0),
             most_bodies: config.memory / BODIES_OF_MEMORY,
@@ -181,7 +181,7 @@
         mut closing: watch::Receiver<bool>,
     ) {
         let known = &*seat.connection;
-        let service = service_fn(|request| self.respond(request, known));
+        let service = service_fn(|request| self.respond(request, &seat));
         let ended = {
             let connection = http1::Builder::new()
                 .header_read_timeout(None) // Each connection's own limits hold.
@@ -205,17 +205,16 @@
         };
         if ended {
             known.closing();
-            let _ = timeout(LINGER_TIME, read_out(&stream)).await;
+            tokio::select! {
+                _ = timeout(LINGER_TIME, read_out(&stream)) => {}
+                () = known.evicted() => {}
+            }
         }
     }
 
-    async fn respond(
-        &self,
-        request: Request<Incoming>,
-        connection: &Connection,
-    ) -> Result<Answer, Infallible> {
+    async fn respond(&self, request: Request<Incoming>, seat: &Seat) -> Result<Answer, Infallible> {
         let arrived = Instant::now();
-        connection.asked();
+        seat.connection.asked();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && !self.stopping.get();
@@ -229,7 +228,7 @@
         if self.stopping.get() || answer.status().is_client_error() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        connection.answered();
+        seat.answered();
         Ok(answer)
     }
 
--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -67,6 +67,8 @@
 /// How many connections each side may have.
 pub struct Budget {
     pub clients: usize,
+    /// So many clients' connections in use leave room for more; beyond, idle ones are closed.
+    pub clients_at_ease: usize,
     pub upstreams: usize,
 }
 
@@ -105,9 +107,10 @@
     }
 
     /// Half the descriptors for each side. Every attempt belongs to a client's request, so while clients
-    /// keep to their half, upstreams can never need more than theirs.
+    /// keep to their half, upstreams can never need more than theirs. Clients open a third of the
+    /// descriptors at most for requests; a part of that is kept free for those that have something to ask.
     pub fn budget(&self) -> Budget {
         let half = (self.sockets - RESERVED) / 2;
-        Budget { clients: half, upstreams: half }
+        Budget { clients: half, clients_at_ease: self.sockets / 4, upstreams: half }
     }
 }
--- a/src/bin/hollowpaddle/connections.rs
+++ b/src/bin/hollowpaddle/connections.rs
@@ -19,7 +19,7 @@
 const HEAD: Duration = Duration::from_millis(2000);
 /// A kept connection is closed once it has idled for so long.
 const IDLE: Duration = Duration::from_secs(4);
-/// A client may count on a connection that it has used for this long.
+/// One that served a client within this time stays, as long as they are not many.
 const KEPT: Duration = Duration::from_secs(2);
 /// One that says nothing for this long does not come with a request: those send it right away.
 const SILENT: Duration = Duration::from_millis(250);
@@ -40,7 +40,9 @@
     /// Its last answer was given, with so many bytes read by then; and when the next head began.
     Kept { since: Instant, read: u64, next: Option<Instant> },
     /// Only read to its end, so that the last answer is not lost to a reset.
-    Closing,
+    Closing { since: Instant },
+    /// Told to give way.
+    Evicted,
 }
 
 impl Connection {
@@ -48,20 +50,20 @@
         self.state.set(State::Asked);
     }
 
-    pub fn answered(&self) {
-        let (since, read) = (Instant::now(), self.traffic.read());
-        self.state.set(State::Kept { since, read, next: None });
+    pub fn closing(&self) {
+        self.state.set(State::Closing { since: Instant::now() });
     }
 
-    pub fn closing(&self) {
-        self.state.set(State::Closing);
+    /// Whether a request was asked on it that is open, or may be followed by another.
+    fn in_use(&self) -> bool {
+        matches!(self.state.get(), State::Asked | State::Kept { .. })
     }
 
     /// When it has to go, as things stand.
     fn limit(&self) -> Option<Instant> {
         match self.state.get() {
             State::New { since } => Some(since + HEAD),
-            State::Asked | State::Closing => None,
+            State::Asked | State::Closing { .. } | State::Evicted => None,
             State::Kept { since, read, next } => {
                 if self.traffic.read() == read {
                     return Some(since + IDLE);
@@ -73,15 +75,38 @@
         }
     }
 
-    /// Since when it could give way to another, and may by now.
-    fn idle_since(&self, now: Instant) -> Option<Instant> {
-        let (since, after) = match self.state.get() {
-            State::New { since } => (since, SILENT),
-            State::Kept { since, .. } => (since, KEPT),
-            State::Asked => return None,
-            State::Closing => (now, Duration::ZERO),
+    /// Since when nothing was asked on it, if its answer is out and the next head has not begun. Closed here,
+    /// it costs its client no request: one that crosses with the close is sent once more.
+    fn kept_since(&self) -> Option<Instant> {
+        let State::Kept { since, read, .. } = self.state.get() else { return None };
+        (self.traffic.read() == read && !self.traffic.blocked()).then_some(since)
+    }
+
+    /// Whether it has served a client, and since when it idles, if it may give way to another by now.
+    fn idle_since(&self, now: Instant) -> Option<(bool, Instant)> {
+        let (served, since, after) = match self.state.get() {
+            State::New { since } | State::Closing { since } => (false, since, SILENT),
+            State::Kept { next: Some(next), .. } => (false, next, SILENT),
+            State::Kept { .. } => (true, self.kept_since()?, KEPT),
+            State::Asked | State::Evicted => return None,
         };
-        (now >= since + after).then_some(since)
+        (now >= since + after).then_some((served, since))
+    }
+
+    fn evict(&self) {
+        self.state.set(State::Evicted);
+        self.evicted.notify_one();
+    }
+
+    /// Ends once it is told to give way. Failure: a request that came between that word and its hearing was
+    /// dropped half done.
+    pub async fn evicted(&self) {
+        loop {
+            self.evicted.notified().await;
+            if matches!(self.state.get(), State::Evicted | State::Closing { .. }) {
+                return;
+            }
+        }
     }
 
     /// Ends when the connection has to go. To be polled whenever something has passed on it: by its own task.
@@ -103,7 +128,7 @@
         });
         tokio::select! {
             () = overdue => {}
-            () = self.evicted.notified() => {}
+            () = self.evicted() => {}
         }
     }
 }
@@ -113,6 +138,8 @@
     open: RefCell<FxHashMap<u64, Rc<Connection>>>,
     next: Cell<u64>,
     most: usize,
+    /// Of those in use, no more than so many while some of them idle.
+    at_ease: usize,
 }
 
 /// A connection's place among them, for as long as it is held.
@@ -122,6 +149,26 @@
     id: u64,
 }
 
+impl Seat {
+    /// Notes that its request was answered, and lets idle ones go if there are many. Failure: clients that
+    /// ask once and keep their connection soon had all that they may open, and then none to ask on.
+    pub fn answered(&self) {
+        let (since, read) = (Instant::now(), self.connection.traffic.read());
+        self.connection.state.set(State::Kept { since, read, next: None });
+        let open = self.all.open.borrow();
+        if open.len() > self.all.at_ease
+            && open.values().filter(|c| c.in_use()).count() > self.all.at_ease
+        {
+            // Not this one: its answer is yet to be written.
+            let others = open.iter().filter(|(id, _)| **id != self.id);
+            let kept = others.filter_map(|(_, c)| Some((c.kept_since()?, c)));
+            if let Some((_, longest)) = kept.min_by_key(|(since, _)| *since) {
+                longest.evict();
+            }
+        }
+    }
+}
+
 impl Drop for Seat {
     fn drop(&mut self) {
         self.all.open.borrow_mut().remove(&self.id);
@@ -129,8 +176,8 @@
 }
 
 impl Connections {
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { open: RefCell::default(), next: Cell::new(0), most })
+    pub fn new(most: usize, at_ease: usize) -> Rc<Self> {
+        Rc::new(Self { open: RefCell::default(), next: Cell::new(0), most, at_ease })
     }
 
     pub fn len(&self) -> usize {
@@ -149,43 +196,70 @@
         Seat { connection, all: self.clone(), id }
     }
 
-    /// Makes one give way: of those with no request open, the one that has idled longest. Failure: hundreds
-    /// that said nothing held all places, and kept every other client out.
+    /// Makes one give way that has no request open: what has said nothing for longest, else what has idled
+    /// longest. Failure: hundreds that said nothing held all places, and kept every other client out.
     pub fn evict(&self) {
         let now = Instant::now();
         let open = self.open.borrow();
         let idle = open.values().filter_map(|c| Some((c.idle_since(now)?, c)));
-        if let Some((_, longest)) = idle.min_by_key(|(since, _)| *since) {
-            longest.evicted.notify_one();
+        if let Some((_, longest)) = idle.min_by_key(|(idle, _)| *idle) {
+            longest.evict();
         }
     }
 }
 
 #[cfg(test)]
 mod tests {
+    use tokio::time::{advance, timeout};
+
     use super::*;
 
+    async fn gone(seat: &Seat) -> bool {
+        timeout(Duration::ZERO, seat.connection.evicted()).await.is_ok()
+    }
+
     #[tokio::test(start_paused = true)]
     async fn the_one_that_has_idled_longest_gives_way_and_none_with_an_open_request() {
-        let all = Connections::new(3);
+        let all = Connections::new(3, 3);
         let seats: Vec<Seat> = (0..3).map(|_| all.seat(Traffic::default())).collect();
         assert!(all.full());
-        let gone = |i: usize| {
-            let seat = &seats[i];
-            async move {
-                tokio::time::timeout(Duration::ZERO, seat.connection.evicted.notified())
-                    .await
-                    .is_ok()
-            }
-        };
         seats[0].connection.asked();
         all.evict();
-        assert!(!gone(1).await && !gone(2).await, "they have had no time to ask");
-        tokio::time::advance(SILENT).await;
-        seats[1].connection.answered();
+        assert!(!gone(&seats[1]).await && !gone(&seats[2]).await, "they have had no time to ask");
+        advance(SILENT).await;
+        seats[1].answered();
         all.evict();
-        assert!(gone(2).await && !gone(1).await && !gone(0).await);
+        assert!(gone(&seats[2]).await && !gone(&seats[1]).await && !gone(&seats[0]).await);
         drop(seats);
         assert_eq!(all.len(), 0);
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn of_many_that_are_kept_the_longest_idle_go_and_the_rest_stays() {
+        let all = Connections::new(100, 4);
+        let mut seats = Vec::new();
+        for _ in 0..10 {
+            let seat = all.seat(Traffic::default());
+            seat.connection.asked();
+            advance(Duration::from_millis(1)).await;
+            seat.answered();
+            seats.push(seat);
+        }
+        for (i, seat) in seats.iter().enumerate() {
+            assert_eq!(gone(seat).await, i < 6, "connection {i}");
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_crosses_with_the_word_to_go_is_served() {
+        let all = Connections::new(1, 1);
+        let seat = all.seat(Traffic::default());
+        seat.answered();
+        advance(KEPT).await;
+        all.evict();
+        seat.connection.asked();
+        assert!(!gone(&seat).await);
+        seat.answered();
+        assert!(!gone(&seat).await);
+    }
 }
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -66,7 +66,7 @@
         }
     };
     tokio::task::spawn_local(reloads);
-    let front = Rc::new(Front::new(&config, handle, budget.clients));
+    let front = Rc::new(Front::new(&config, handle, &budget));
     let serve = front.serve(listener, async move {
         term.recv().await;
     });
--- a/src/bin/hollowpaddle/stream.rs
+++ b/src/bin/hollowpaddle/stream.rs
@@ -20,6 +20,8 @@
 struct Passed {
     read: Cell<u64>,
     written: Cell<u64>,
+    /// The last write had to wait.
+    blocked: Cell<bool>,
     /// The next write fails if something unread has come before it.
     first_look: Cell<bool>,
 }
@@ -34,6 +36,11 @@
         self.0.written.get()
     }
 
+    /// Whether something is left to be written that the kernel could not take yet.
+    pub fn blocked(&self) -> bool {
+        self.0.blocked.get()
+    }
+
     /// The next write is to fail if something waits to be read by then.
     pub fn look_before_writing(&self) {
         self.0.first_look.set(true);
@@ -67,6 +74,14 @@
         }
         Ok(())
     }
+
+    fn wrote(&self, wrote: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        self.traffic.0.blocked.set(wrote.is_pending());
+        if let Poll::Ready(Ok(n)) = wrote {
+            self.traffic.count_written(n);
+        }
+        wrote
+    }
 }
 
 /// Whether the stream is open and the kernel holds nothing unread on it, not even its end.
@@ -97,9 +112,8 @@
 impl AsyncWrite for Tapped {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         self.look()?;
-        let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf))?;
-        self.traffic.count_written(n);
-        Poll::Ready(Ok(n))
+        let wrote = Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf);
+        self.wrote(wrote)
     }
 
     fn poll_write_vectored(
@@ -108,9 +122,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         self.look()?;
-        let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs))?;
-        self.traffic.count_written(n);
-        Poll::Ready(Ok(n))
+        let wrote = Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.wrote(wrote)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/node/bad_clients.rs
+++ b/tests/node/bad_clients.rs
@@ -133,3 +133,24 @@
     assert_eq!(busy.ask(&read("last", 5000)).status(), 200);
     drop(crowd);
 }
+
+#[test]
+fn clients_that_ask_once_and_stay_give_way_before_those_that_go_on_asking() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let mut config = config(members(&[&upstream]));
+    config["limits"]["sockets"] = json!(256); // Up to 64 may idle.
+    let node = Node::start(&config);
+    let mut busy = node.client();
+    let mut stay: Vec<Client> = Vec::new();
+    for i in 0..80 {
+        stay.push(node.client());
+        assert_eq!(stay[i].ask(&read(&format!("once-{i}"), 5000)).status(), 200);
+        assert_eq!(busy.ask(&read(&format!("busy-{i}"), 5000)).status(), 200);
+    }
+    let since = Instant::now();
+    for client in &mut stay[..17] {
+        assert!(client.answer().is_none(), "closed");
+    }
+    assert!(since.elapsed() < Duration::from_secs(1), "not only for having idled too long");
+    assert_eq!(stay[79].ask(&read("again", 5000)).status(), 200);
+}
