Give back the slot of an attempt that is out for twice its patience

A trace of both sides: 8 of 8 slots taken, 8 to 12 of them by overdue attempts, 60 queued, answers at 3 ms in the mean. To blame: watch() in policy.rs. Ruled out: admission as such, breakers (shut: none), connects (60 us), reading of bodies (20 us), faults told by upstreams. A hung upstream is still tried ever less often: its breakers are unchanged, and so is the test of that.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -860,8 +860,10 @@
             let again = again && self.order.iter().any(|&i| self.is_open(now, e, i));
             let (class, s) = (e.class, &mut self.servers[a.server]);
             // Failure: each lost answer held its slot for two aims, and a fleet that lost a quarter of them
-            // was refused for. An upstream that answered what was sent later has lost this one.
-            let lost = late && !a.freed && s.answered > a.sent;
+            // was refused for. An upstream that answered what was sent later has lost this one. With its only
+            // slot taken nothing later is sent, and connections fallen silent shut the fleet to a bank.
+            let lost = s.answered > a.sent || now >= late_at.plus(late_at.since(a.sent));
+            let lost = late && !a.freed && lost;
             if late && !a.overdue {
                 let mean = self.fleet.mean[class].max(1.0);
                 s.est.learn(Outcome::Timeout, now.since(a.sent).f(), mean);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -195,6 +195,28 @@
     }
 }
 
+#[test]
+fn a_lone_silent_attempt_does_not_hold_its_slot_until_its_time_out() {
+    // Failure: with one slot an upstream nothing could overtake an attempt on a connection fallen silent; a
+    // few of them held all slots, and the bank refused beside idle upstreams.
+    let mut w = World::with_servers(settings(), 1);
+    for id in 0..50 {
+        w.request(id, 0);
+        serve(&mut w, id, 10);
+    }
+    let at = |w: &World| w.balancer.upstream(ServerId(0), Span(MS)).expect("known").0;
+    w.request(100, 0);
+    assert_eq!(at(&w), 1);
+    w.pass(Span(100 * MS));
+    assert!(w.out(100).is_some(), "its time is not up");
+    assert_eq!(at(&w), 0, "no answer takes so long here");
+    w.request(101, 0);
+    assert!(w.out(101).is_some(), "the upstream is tried again");
+    // Its answer, should it come after all, gives back no slot twice.
+    w.outcome(100, 0, Outcome::Ok);
+    assert_eq!(at(&w), 1);
+}
+
 #[test]
 fn a_late_request_goes_elsewhere_too_where_late_ones_never_come_back() {
     // Failure: a lost answer was waited for until the aim had passed.
