Split the package into a workspace: policy, gateway, benchlink and the thin daemon

The one package had the module, the gateway and both programs behind one manifest, and clients, config, discovery, engine and upstreams imported one another in a circle.

The circle is gone: the list's form is members.rs, the head limits are http.rs, AbortOnDrop is tasks.rs, discovery tells News through a callback, and serve.rs is one balancer from start to end, which the daemon wires to signals.

--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -1,8 +1,8 @@
 //! One balancer of the bank and the names its handles stand for.
 
-use hollowpaddle::interface::{self as d, Action, Event, Report, RequestId, ServerId, Time};
-use hollowpaddle::policy::Balancer;
-use hollowpaddle::settings::{Field, key_hash, span, stable_hash};
+use hollowpaddle_policy::interface::{self as d, Action, Event, Report, RequestId, ServerId, Time};
+use hollowpaddle_policy::policy::Balancer;
+use hollowpaddle_policy::settings::{Field, key_hash, span, stable_hash};
 use rustc_hash::FxHashMap;
 
 use crate::wire::{self, Command};
--- a/src/bin/hollowpaddle-benchlink/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use arrayvec::ArrayVec;
-use hollowpaddle::settings::Facts;
+use hollowpaddle_policy::settings::Facts;
 use serde::{Deserialize, Serialize};
 
 pub type Text<'a> = Cow<'a, str>;
--- a/src/bin/hollowpaddle/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowpaddle::interface::{Class, Effect, Span};
-use hollowpaddle::settings::{Facts, key_hash};
+use hollowpaddle_policy::interface::{Class, Effect, Span};
+use hollowpaddle_policy::settings::{Facts, key_hash};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -31,6 +31,7 @@
 use crate::config::{Budget, Config};
 use crate::connections::{Connections, Seat};
 use crate::engine::{Arrival, Handle, Reply};
+use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::stream::{Shared, Tapped};
 use crate::upstreams::Forward;
 
@@ -42,9 +43,6 @@
 const FINISH: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// A head may be this large, on either side, and have so many lines.
-pub const HEAD_LIMIT: usize = 16 << 10;
-pub const HEAD_LINES: usize = 64;
 /// An identifier of a request may be this long.
 const ID_LIMIT: usize = 128;
 /// A body must be whole this long after its head: clients here send both at once.
--- a/src/bin/hollowpaddle/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use hollowpaddle::settings::Facts;
+use hollowpaddle_policy::settings::Facts;
 use serde::Deserialize;
 
-use crate::discovery::List;
+use crate::members::List;
 
 /// Descriptors that are neither a client's nor an upstream's: standard streams, the event queue, the
 /// listener, the watch, signals.
@@ -14,16 +14,34 @@
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
 
+/// Why the platform's word can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
+    /// Nothing names the file.
     #[error("LB_CONFIG is not set")]
     NoFile,
+    /// The file, and what happened.
     #[error("{0}: {1}")]
     Unreadable(String, std::io::Error),
+    /// A field that is missing or is no such thing.
     #[error("{path}: field `{field}`: {cause}")]
-    Malformed { path: String, field: String, cause: String },
+    Malformed {
+        /// The file.
+        path: String,
+        /// Where in it.
+        field: String,
+        /// What was expected.
+        cause: String,
+    },
+    /// An address that can't be read.
     #[error("{name} is not an address: {value:?}")]
-    BadAddress { name: &'static str, value: String },
+    BadAddress {
+        /// Which.
+        name: &'static str,
+        /// What stood there.
+        value: String,
+    },
+    /// A limit that nothing could be served under.
     #[error("the limit of {0} sockets leaves no room to serve")]
     TooFewSockets(usize),
 }
@@ -52,23 +70,33 @@
     memory_mb: Option<usize>,
 }
 
+/// What the platform told.
 pub struct Config {
+    /// Its name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the list of upstreams is told.
     pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
     pub seed: u64,
+    /// How many descriptors the process may hold.
     pub sockets: usize,
     /// In bytes.
     pub memory: usize,
+    /// The list as last known; it may be old.
     pub known: List,
+    /// The settings.
     pub facts: Facts,
 }
 
 /// How many connections each side may have.
 pub struct Budget {
+    /// Of clients.
     pub clients: usize,
     /// So many clients' connections in use leave room for more; beyond, idle ones are closed.
     pub clients_at_ease: usize,
+    /// To upstreams.
     pub upstreams: usize,
 }
 
@@ -98,7 +126,7 @@
             name: say("LB_NAME", file.name),
             listen: address("LB_LISTEN", say("LB_LISTEN", file.listen))?,
             discovery: address("LB_DISCOVERY", discovery)?,
-            seed: hollowpaddle::settings::key_hash(&seed),
+            seed: hollowpaddle_policy::settings::key_hash(&seed),
             sockets,
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20,
             known: file.known,
--- a/src/bin/hollowpaddle/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,4 +1,4 @@
-//! The list of upstreams: its form, and one watch on its changes.
+//! One watch on the list of upstreams.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,12 +8,11 @@
 use hyper::Request;
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::engine::Note;
+use crate::members::List;
+use crate::tasks::AbortOnDrop;
 
 /// A watch says something every 2 s; without a word for this long it is dead, though nothing told so (a
 /// machine that is cut off sends no reset). News counts as told after 6 s, heard or not: the next call must
@@ -24,60 +23,12 @@
 /// No line of a list is longer than this; more is not discovery.
 const LONGEST_LINE: usize = 4 << 20;
 
-/// One message of discovery: the whole list, or the entries that changed.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct List {
-    #[serde(default)]
-    pub revision: u64,
-    #[serde(default)]
-    pub complete: bool,
-    #[serde(default, deserialize_with = "readable")]
-    pub members: Vec<Entry>,
-}
-
-/// Guards against one entry that can't be read: it must not cost the news of all others.
-fn readable<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<Entry>, D::Error> {
-    let all = Vec::<serde_json::Value>::deserialize(from)?;
-    let read = |entry| {
-        serde_json::from_value(entry)
-            .inspect_err(|cause| tracing::warn!(%cause, "an entry of the list is left out"))
-            .ok()
-    };
-    Ok(all.into_iter().filter_map(read).collect())
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct Entry {
-    pub id: String,
-    /// May differ between balancers and change over time; the id is who it is. What is deleted may have none.
-    #[serde(default)]
-    pub host_port: String,
-    #[serde(default)]
-    pub locality: String,
-    #[serde(default)]
-    pub flavor: String,
-    #[serde(default)]
-    pub cell: u32,
-    pub phase: Phase,
-    #[serde(default = "one")]
-    pub size: f64,
-    #[serde(default)]
-    pub up_since_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum Phase {
-    Serving,
-    Draining,
-    Deleted,
-    /// One that this build does not know: nothing says that it takes requests.
-    #[serde(other)]
-    Unknown,
+/// What a watch tells.
+pub enum News {
+    /// The list, or a change to it.
+    List(List),
+    /// The watch is over; nothing more comes from it.
+    Ended,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -101,32 +52,25 @@
 }
 
 /// Watches from this revision on until the watch ends, and tells that too: when to ask again is decided
-/// elsewhere. `serial` tells this watch from those before it.
-pub async fn watch(
-    address: SocketAddr,
-    revision: u64,
-    beats: bool,
-    serial: u64,
-    notes: mpsc::UnboundedSender<Note>,
-) {
-    if let Err(cause) = follow(address, revision, beats, serial, &notes).await {
+/// elsewhere.
+pub async fn watch(address: SocketAddr, revision: u64, beats: bool, tell: impl Fn(News)) {
+    if let Err(cause) = follow(address, revision, beats, &tell).await {
         tracing::info!(%cause, revision, "watch over");
     }
-    let _ = notes.send(Note::WatchEnded { serial });
+    tell(News::Ended);
 }
 
 async fn follow(
     address: SocketAddr,
     revision: u64,
     beats: bool,
-    serial: u64,
-    notes: &mpsc::UnboundedSender<Note>,
+    tell: &impl Fn(News),
 ) -> Result<(), WatchError> {
     let stream = timeout(CALL, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = crate::upstreams::AbortOnDrop(tokio::task::spawn_local(async move {
+    let _connection = AbortOnDrop(tokio::task::spawn_local(async move {
         let _ = connection.await;
     }));
     let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
@@ -153,8 +97,7 @@
             if line.trim_ascii().is_empty() {
                 continue; // A heartbeat.
             }
-            let list = serde_json::from_slice(&line)?;
-            let _ = notes.send(Note::Listed { serial, list });
+            tell(News::List(serde_json::from_slice(&line)?));
         }
         if lines.len() > LONGEST_LINE {
             return Err(WatchError::Endless);
--- a/src/bin/hollowpaddle/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -9,18 +9,22 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use hollowpaddle::interface as d;
-use hollowpaddle::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
-use hollowpaddle::policy::Balancer;
-use hollowpaddle::settings::stable_hash;
+use hollowpaddle_policy::interface as d;
+use hollowpaddle_policy::interface::{
+    Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time,
+};
+use hollowpaddle_policy::policy::Balancer;
+use hollowpaddle_policy::settings::stable_hash;
 use hyper::Response;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 use crate::config::Config;
-use crate::discovery::{self, Entry, List, Phase};
-use crate::upstreams::{AbortOnDrop, Ended, Forward, Pool, Target};
+use crate::discovery::{self, News};
+use crate::members::{Entry, List, Phase};
+use crate::tasks::AbortOnDrop;
+use crate::upstreams::{Ended, Forward, Pool, Target};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
 /// arrives: the way to the client, and a busy moment here.
@@ -46,12 +50,10 @@
         attempt: usize,
         ended: Ended,
     },
-    Listed {
-        serial: u64,
-        list: List,
-    },
-    WatchEnded {
+    /// News of a watch; `serial` tells it from those before it.
+    Watched {
         serial: u64,
+        news: News,
     },
     /// Discovery is at this address from now on.
     Moved(SocketAddr),
@@ -247,6 +249,7 @@
                 }
             };
             tokio::select! {
+                biased;
                 note = self.notes.recv() => match note {
                     Some(note) => self.take(note),
                     None => return,
@@ -289,23 +292,9 @@
                 self.ended(id, attempt, ended);
                 self.catch_up();
             }
-            Note::Listed { serial, list } => {
-                if serial == self.watch_serial {
-                    let whole = list.complete;
-                    self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
-                }
-            }
+            Note::Watched { serial, news } if serial == self.watch_serial => self.heard(news),
+            Note::Watched { .. } => {}
             Note::Moved(discovery) => self.moved(discovery),
-            Note::WatchEnded { serial } => {
-                if serial == self.watch_serial {
-                    self.watch = None;
-                    if self.must_ask {
-                        self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
-                    } else {
-                        self.timers.push(Reverse((Instant::now() + REWATCH, Due::Watch)));
-                    }
-                }
-            }
         }
     }
 
@@ -389,6 +378,23 @@
         }
     }
 
+    fn heard(&mut self, news: News) {
+        match news {
+            News::List(list) => {
+                let whole = list.complete;
+                self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
+            }
+            News::Ended => {
+                self.watch = None;
+                if self.must_ask {
+                    self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
+                } else {
+                    self.timers.push(Reverse((Instant::now() + REWATCH, Due::Watch)));
+                }
+            }
+        }
+    }
+
     fn listed(&mut self, list: &List, kind: ListKind) {
         self.revision = list.revision;
         let members = self.upstreams.update(list, kind, &self.pool);
@@ -413,13 +419,9 @@
 
     fn subscribe(&mut self) {
         self.watch_serial += 1;
-        let watch = discovery::watch(
-            self.discovery,
-            self.revision,
-            self.must_ask,
-            self.watch_serial,
-            self.own_notes.clone(),
-        );
+        let (serial, notes) = (self.watch_serial, self.own_notes.clone());
+        let tell = move |news| drop(notes.send(Note::Watched { serial, news }));
+        let watch = discovery::watch(self.discovery, self.revision, self.must_ask, tell);
         self.watch = Some(AbortOnDrop(tokio::task::spawn_local(watch)));
     }
 
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The machine round the decision module, as a library: clients in front, upstreams behind, discovery beside.
+//!
+//! Everything runs on one thread. The tasks that do I/O tell the engine what happened and carry out
+//! what it says; only the engine touches the module.
+#![forbid(unsafe_code)]
+
+mod bodies;
+mod clients;
+pub mod config;
+mod connections;
+mod discovery;
+mod engine;
+mod http;
+pub mod members;
+mod serve;
+mod stream;
+mod tasks;
+mod upstreams;
+
+pub use config::{Config, ConfigError};
+pub use serve::{ServeError, serve};
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,53 @@
+//! One balancer from its start to its end. What signals mean, and where the configuration lies, is the
+//! program's to say.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use hollowpaddle_policy::interface::SettingsError;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::clients::Front;
+use crate::config::Config;
+use crate::engine::Engine;
+use crate::tasks::AbortOnDrop;
+use crate::upstreams::Pool;
+
+/// Why a balancer did not serve to its end.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeError {
+    /// The settings can't be used.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// Without the engine nothing is ever answered well again; a restart is better.
+    #[error("the engine ended")]
+    EngineEnded,
+}
+
+/// Serves clients on `listener` until `stop`, then finishes what was taken. Each configuration that comes on
+/// `reloads` moves the watch to the discovery it names. Must run inside a `LocalSet`.
+pub async fn serve(
+    config: Config,
+    listener: TcpListener,
+    mut reloads: mpsc::UnboundedReceiver<Config>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ServeError> {
+    let budget = config.budget();
+    let pool = Pool::new(budget.upstreams, &config);
+    let (engine, handle) = Engine::new(&config, pool)?;
+    let mut engine = AbortOnDrop(tokio::task::spawn_local(engine.run()));
+    let reload = handle.reloader();
+    let _reloads = AbortOnDrop(tokio::task::spawn_local(async move {
+        while let Some(new) = reloads.recv().await {
+            reload(new.discovery);
+        }
+    }));
+    let front = Rc::new(Front::new(&config, handle, &budget));
+    let serve = front.serve(listener, stop);
+    tokio::select! {
+        biased;
+        () = serve => Ok(()),
+        _ = &mut engine.0 => Err(ServeError::EngineEnded),
+    }
+}
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowpaddle::interface::{Outcome, Report, ServerId};
-use hollowpaddle::settings::Field;
+use hollowpaddle_policy::interface::{Outcome, Report, ServerId};
+use hollowpaddle_policy::settings::Field;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue};
@@ -15,13 +15,13 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::bodies::{Allowance, whole};
-use crate::clients::{HEAD_LIMIT, HEAD_LINES};
 use crate::config::Config;
+use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::stream::{Tapped, Traffic, still_quiet};
+use crate::tasks::AbortOnDrop;
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
 /// close would end as a reset, which no unsafe request survives.
@@ -38,15 +38,6 @@
 /// No figure of a load report lies outside of this.
 const PLAUSIBLE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 
-/// A task that ends with its owner, and closes what it holds.
-pub struct AbortOnDrop(pub JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// A client's request as it goes on, the same for each of its attempts.
 pub struct Forward {
     pub method: Method,
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,8 +9,3 @@
 pub mod policy;
 pub mod settings;
 mod state;
-
-/// The README's example, compiled as a doc test.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-pub struct Readme;
--- a/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,5 +1,5 @@
 //! Every decision of the balancer, and nothing else: no clock, no I/O, no threads.
-//! Its interface (settings, events, actions) is `src/interface.rs`; its plain records are `src/state.rs`.
+//! Its interface (settings, events, actions) is `interface.rs`; its plain records are `state.rs`.
 //! The ordinary path is Ould Deye et al.'s: a first-come queue, at most `K_i = 2*TP_i/TS_i + 1` requests out
 //! per upstream, and refusal once queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`.
 
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
-use hollowpaddle::interface::*;
-use hollowpaddle::policy::Balancer;
+use hollowpaddle_policy::interface::*;
+use hollowpaddle_policy::policy::Balancer;
 
 pub const MS: i64 = 1000;
 
--- a/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 
 use common::{MS, World, member, settings};
-use hollowpaddle::interface::*;
-use hollowpaddle::policy::Balancer;
+use hollowpaddle_policy::interface::*;
+use hollowpaddle_policy::policy::Balancer;
 
 fn serve(w: &mut World, id: u64, ms: i64) {
     w.pass(Span(ms * MS));
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{MS, World, member, settings};
-use hollowpaddle::interface::*;
+use hollowpaddle_policy::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/main.rs
@@ -1,30 +1,15 @@
-//! One balancer on real sockets: clients in front, upstreams behind, every decision in the module.
-//!
-//! Everything runs on one thread. The tasks that do I/O tell the [`engine`] what happened and carry out
-//! what it says; only the engine touches the module.
+//! The daemon: one balancer on this machine's sockets. Signals, wiring and exit codes; all else is the
+//! gateway's.
 #![forbid(unsafe_code)]
 
-mod bodies;
-mod clients;
-mod config;
-mod connections;
-mod discovery;
-mod engine;
-mod stream;
-mod upstreams;
-
 use std::process::ExitCode;
-use std::rc::Rc;
 
+use hollowpaddle_gateway::{Config, serve};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use clients::Front;
-use config::Config;
-use engine::Engine;
-use upstreams::Pool;
-
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     match start() {
@@ -49,31 +34,21 @@
     let config = Config::read().map_err(|e| e.to_string())?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let budget = config.budget();
-    let pool = Pool::new(budget.upstreams, &config);
-    let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
-    let engine = tokio::task::spawn_local(engine.run());
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    tracing::info!(name = config.name, "listening on {bound}");
-    let reload = handle.reloader();
-    let reloads = async move {
+    let (reload, reloads) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
             // A file that can't be used must not cost the service that runs.
             match Config::read() {
-                Ok(new) => reload(new.discovery),
+                Ok(new) => drop(reload.send(new)),
                 Err(cause) => tracing::error!("the old configuration stays: {cause}"),
             }
         }
-    };
-    tokio::task::spawn_local(reloads);
-    let front = Rc::new(Front::new(&config, handle, &budget));
-    let serve = front.serve(listener, async move {
-        term.recv().await;
     });
-    tokio::select! {
-        () = serve => Ok(()),
-        // Without it nothing is ever answered well again; a restart is better.
-        _ = engine => Err("the engine ended".to_string()),
-    }
+    tracing::info!(name = config.name, "listening on {bound}");
+    let stop = async move {
+        term.recv().await;
+    };
+    serve(config, listener, reloads, stop).await.map_err(|e| e.to_string())
 }
