Put a seam under the gateway: the network is a trait, with a simulated one beside TCP

A rehearsal in virtual time needs the gateway on a network inside one process, under a paused clock. Weighed: turmoil has a runtime for each host and steps all of them every tick, which costs most where nothing happens, and its streams can't say whether something unread waits, which the gateway asks before it writes; feature-gated types would make two gateways of one. So a small trait of our own.

crates/net: Stream, Listener, Network and the machine's TCP (a listener can be hushed by filling its backlog, which needs no privilege). crates/simnet: the same in memory, delays by address pair, resets where the kernel resets. The gateway takes an Rc<dyn Network>; wall-clock time is read once through it, and Config::parse needs no environment. The remaining select! loops are biased.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollowpaddle_net::{Listener, accept};
 use hollowpaddle_policy::interface::{Class, Effect, Span};
 use hollowpaddle_policy::settings::{Facts, key_hash};
 use http_body_util::{BodyExt, Full};
@@ -23,7 +24,6 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashSet;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -109,12 +109,17 @@
     }
 
     /// Serves until `stop`, then finishes what was taken.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    pub async fn serve(
+        self: Rc<Self>,
+        mut listener: Box<dyn Listener>,
+        stop: impl Future<Output = ()>,
+    ) {
         let (close, closing) = watch::channel(false);
         {
-            let accepting = self.accept(&listener, &closing);
+            let accepting = self.accept(&mut *listener, &closing);
             tokio::pin!(accepting);
             tokio::select! {
+                biased;
                 () = &mut accepting => {}
                 () = stop => {}
             }
@@ -134,7 +139,7 @@
         let _ = timeout(self.longest + FINISH, finished).await;
     }
 
-    async fn accept(self: &Rc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
+    async fn accept(self: &Rc<Self>, listener: &mut dyn Listener, closing: &watch::Receiver<bool>) {
         loop {
             // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
             if self.connections.full() {
@@ -142,9 +147,8 @@
                 sleep(Duration::from_millis(1)).await;
                 continue;
             }
-            match listener.accept().await {
+            match accept(listener).await {
                 Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
                     let (io, stream, traffic) = Tapped::new(stream);
                     // It has its place before the next one is accepted.
                     let seat = self.connections.seat(traffic);
@@ -194,6 +198,7 @@
         if ended {
             known.closing();
             tokio::select! {
+                biased;
                 _ = timeout(LINGER_TIME, read_out(&stream)) => {}
                 () = known.evicted() => {}
             }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -101,17 +101,35 @@
 }
 
 impl Config {
-    /// Reads what is stated now. The file may be replaced while the program runs and the environment can't
-    /// be: where both name discovery, the file holds.
+    /// Reads what is stated now: the environment, and the file that it names.
+    ///
+    /// # Errors
+    /// Neither says enough to serve by.
     pub fn read() -> Result<Self, ConfigError> {
-        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
+        let said = |name: &str| std::env::var(name).ok();
+        let path = said("LB_CONFIG").ok_or(ConfigError::NoFile)?;
         let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
-        let mut reader = serde_json::Deserializer::from_slice(&text);
+        Self::parse(&path, &text, said)
+    }
+
+    /// Reads the text of the file at `path`, beside what the environment has `said` of a name. The file may be
+    /// replaced while the program runs and the environment can't be: where both name discovery, the file
+    /// holds.
+    ///
+    /// # Errors
+    /// See [`Config::read`].
+    pub fn parse(
+        path: &str,
+        text: &[u8],
+        said: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let mut reader = serde_json::Deserializer::from_slice(text);
         let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
             let field = e.path().to_string();
+            let path = path.to_string();
             ConfigError::Malformed { path, field, cause: e.into_inner().to_string() }
         })?;
-        let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
+        let say = |name: &str, file: String| said(name).unwrap_or(file);
         let address = |name: &'static str, value: String| {
             value.parse().map_err(|_| ConfigError::BadAddress { name, value })
         };
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -127,6 +127,7 @@
             Poll::Pending
         });
         tokio::select! {
+            biased;
             () = overdue => {}
             () = self.evicted() => {}
         }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,14 +1,15 @@
 //! One watch on the list of upstreams.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use hollowpaddle_net::Network;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::members::List;
@@ -53,21 +54,27 @@
 
 /// Watches from this revision on until the watch ends, and tells that too: when to ask again is decided
 /// elsewhere.
-pub async fn watch(address: SocketAddr, revision: u64, beats: bool, tell: impl Fn(News)) {
-    if let Err(cause) = follow(address, revision, beats, &tell).await {
+pub async fn watch(
+    network: Rc<dyn Network>,
+    address: SocketAddr,
+    revision: u64,
+    beats: bool,
+    tell: impl Fn(News),
+) {
+    if let Err(cause) = follow(&*network, address, revision, beats, &tell).await {
         tracing::info!(%cause, revision, "watch over");
     }
     tell(News::Ended);
 }
 
 async fn follow(
+    network: &dyn Network,
     address: SocketAddr,
     revision: u64,
     beats: bool,
     tell: &impl Fn(News),
 ) -> Result<(), WatchError> {
-    let stream = timeout(CALL, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
+    let stream = timeout(CALL, network.connect(address)).await??;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDrop(tokio::task::spawn_local(async move {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,9 +6,10 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
+use hollowpaddle_net::Network;
 use hollowpaddle_policy::interface as d;
 use hollowpaddle_policy::interface::{
     Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time,
@@ -166,6 +167,7 @@
     timers: BinaryHeap<Reverse<(Instant, Due)>>,
     actions: Vec<Action>,
     later: VecDeque<Later>,
+    network: Rc<dyn Network>,
     pool: Rc<Pool>,
     upstreams: Upstreams,
     ready: Rc<Cell<bool>>,
@@ -187,8 +189,7 @@
 }
 
 impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    fn new(unix: Duration) -> Self {
         Self { start: Instant::now(), unix_us: unix.as_micros() as i64 }
     }
     fn now(&self) -> Time {
@@ -203,8 +204,12 @@
 }
 
 impl Engine {
-    pub fn new(config: &Config, pool: Rc<Pool>) -> Result<(Self, Handle), d::SettingsError> {
-        let clock = Clock::new();
+    pub fn new(
+        config: &Config,
+        pool: Rc<Pool>,
+        network: Rc<dyn Network>,
+    ) -> Result<(Self, Handle), d::SettingsError> {
+        let clock = Clock::new(network.unix_now());
         let settings = config.facts.settings();
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
@@ -221,6 +226,7 @@
             timers: BinaryHeap::new(),
             actions: Vec::new(),
             later: VecDeque::new(),
+            network,
             pool,
             upstreams: Upstreams::new(config, grace.saturating_sub(DRAIN_MARGIN)),
             ready,
@@ -421,7 +427,8 @@
         self.watch_serial += 1;
         let (serial, notes) = (self.watch_serial, self.own_notes.clone());
         let tell = move |news| drop(notes.send(Note::Watched { serial, news }));
-        let watch = discovery::watch(self.discovery, self.revision, self.must_ask, tell);
+        let network = self.network.clone();
+        let watch = discovery::watch(network, self.discovery, self.revision, self.must_ask, tell);
         self.watch = Some(AbortOnDrop(tokio::task::spawn_local(watch)));
     }
 
@@ -627,6 +634,11 @@
     use super::*;
     use serde_json::json;
 
+    fn network() -> Rc<dyn Network> {
+        let fabric = hollowpaddle_simnet::Fabric::new(Duration::ZERO, |_, _| Duration::ZERO);
+        fabric.host([127, 0, 0, 1].into())
+    }
+
     fn config() -> Config {
         let facts = json!({"Balancers": 1, "Tick": 1.0, "RegistryMode": "subscribe", "Services": [],
             "PolicyLimits": {"MaxAttempts": 3},
@@ -647,7 +659,9 @@
     #[tokio::test]
     async fn upstreams_come_and_go_and_no_handle_is_used_twice() {
         let config = config();
-        let pool = tokio::task::LocalSet::new().run_until(async { Pool::new(1, &config) }).await;
+        let pool = tokio::task::LocalSet::new()
+            .run_until(async { Pool::new(1, &config, network()) })
+            .await;
         let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
         let mut told = |id: String, phase: &str, kind| {
             let list = json!({"members": [{"id": id, "host_port": "127.0.0.1:1", "phase": phase}]});
@@ -673,7 +687,9 @@
     #[tokio::test]
     async fn what_an_attempt_still_looks_at_is_kept_and_stays_closed() {
         let config = config();
-        let pool = tokio::task::LocalSet::new().run_until(async { Pool::new(1, &config) }).await;
+        let pool = tokio::task::LocalSet::new()
+            .run_until(async { Pool::new(1, &config, network()) })
+            .await;
         let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
         let list =
             json!({"members": [{"id": "a", "host_port": "127.0.0.1:1", "phase": "SERVING"}]});
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,8 +4,8 @@
 use std::future::Future;
 use std::rc::Rc;
 
+use hollowpaddle_net::{Listener, Network};
 use hollowpaddle_policy::interface::SettingsError;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use crate::clients::Front;
@@ -25,17 +25,18 @@
     EngineEnded,
 }
 
-/// Serves clients on `listener` until `stop`, then finishes what was taken. Each configuration that comes on
+/// Serves clients on `listener`, and reaches all else by `network`, until `stop`, then finishes what was taken. Each configuration that comes on
 /// `reloads` moves the watch to the discovery it names. Must run inside a `LocalSet`.
 pub async fn serve(
     config: Config,
-    listener: TcpListener,
+    network: Rc<dyn Network>,
+    listener: Box<dyn Listener>,
     mut reloads: mpsc::UnboundedReceiver<Config>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
     let budget = config.budget();
-    let pool = Pool::new(budget.upstreams, &config);
-    let (engine, handle) = Engine::new(&config, pool)?;
+    let pool = Pool::new(budget.upstreams, &config, network.clone());
+    let (engine, handle) = Engine::new(&config, pool, network)?;
     let mut engine = AbortOnDrop(tokio::task::spawn_local(engine.run()));
     let reload = handle.reloader();
     let _reloads = AbortOnDrop(tokio::task::spawn_local(async move {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,14 +3,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, IoSlice, Result};
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 
-use socket2::SockRef;
+use hollowpaddle_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Bytes that passed on a stream.
 #[derive(Clone, Default)]
@@ -52,7 +50,7 @@
 }
 
 /// The stream itself, for its owner.
-pub type Shared = Rc<RefCell<TcpStream>>;
+pub type Shared = Rc<RefCell<Box<dyn Stream>>>;
 
 /// The stream for hyper.
 pub struct Tapped {
@@ -61,7 +59,7 @@
 }
 
 impl Tapped {
-    pub fn new(stream: TcpStream) -> (Self, Shared, Traffic) {
+    pub fn new(stream: Box<dyn Stream>) -> (Self, Shared, Traffic) {
         let (inner, traffic) = (Rc::new(RefCell::new(stream)), Traffic::default());
         (Self { inner: inner.clone(), traffic: traffic.clone() }, inner, traffic)
     }
@@ -69,7 +67,7 @@
     /// Guards against bytes that came after the last look at the connection: what is there before a request
     /// is written cannot be its answer, but would be taken for it.
     fn look(&self) -> Result<()> {
-        if self.traffic.0.first_look.replace(false) && !is_quiet(&self.inner.borrow()) {
+        if self.traffic.0.first_look.replace(false) && !self.inner.borrow().is_quiet() {
             return Err(ErrorKind::ConnectionAborted.into());
         }
         Ok(())
@@ -84,15 +82,9 @@
     }
 }
 
-/// Whether the stream is open and the kernel holds nothing unread on it, not even its end.
-fn is_quiet(stream: &TcpStream) -> bool {
-    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-}
-
-/// The same of a stream that hyper may have let go.
-pub fn still_quiet(stream: &Weak<RefCell<TcpStream>>) -> bool {
-    stream.upgrade().is_some_and(|s| is_quiet(&s.borrow()))
+/// Whether a stream that hyper may have let go is open, and nothing unread has come on it.
+pub fn still_quiet(stream: &Weak<RefCell<Box<dyn Stream>>>) -> bool {
+    stream.upgrade().is_some_and(|s| s.borrow().is_quiet())
 }
 
 impl AsyncRead for Tapped {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollowpaddle_net::{Network, Stream};
 use hollowpaddle_policy::interface::{Outcome, Report, ServerId};
 use hollowpaddle_policy::settings::Field;
 use http_body_util::Full;
@@ -14,7 +15,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::bodies::{Allowance, whole};
@@ -73,7 +73,7 @@
     sender: SendRequest<Full<Bytes>>,
     traffic: Traffic,
     /// Gone once the connection has ended.
-    stream: Weak<RefCell<TcpStream>>,
+    stream: Weak<RefCell<Box<dyn Stream>>>,
     address: SocketAddr,
     idle_since: Instant,
     _connection: AbortOnDrop,
@@ -105,6 +105,7 @@
 
 /// The connections to all upstreams, and how to use them.
 pub struct Pool {
+    network: Rc<dyn Network>,
     idle: RefCell<FxHashMap<ServerId, Vec<Link>>>,
     open: Rc<Cell<usize>>,
     most: usize,
@@ -115,7 +116,7 @@
 }
 
 impl Pool {
-    pub fn new(most: usize, config: &Config) -> Rc<Self> {
+    pub fn new(most: usize, config: &Config, network: Rc<dyn Network>) -> Rc<Self> {
         let limits = &config.facts.policy_limits;
         let ms = |ms: f64, default: f64| {
             let ms = if ms > 0.0 && ms < 1e7 { ms } else { default };
@@ -123,6 +124,7 @@
         };
         let names = &config.facts.stats.names;
         let pool = Rc::new(Self {
+            network,
             idle: RefCell::default(),
             open: Rc::default(),
             most,
@@ -199,9 +201,8 @@
             return None;
         }
         let open = Open::new(&self.open);
-        let connect = timeout(self.connect_timeout, TcpStream::connect(address));
+        let connect = timeout(self.connect_timeout, self.network.connect(address));
         let stream = connect.await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
         let (io, stream, traffic) = Tapped::new(stream);
         let stream = Rc::downgrade(&stream);
         let (sender, connection) = http1::Builder::new()
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,68 @@
+//! The network and the wall clock as a program sees them: what can be asked of them, and the machine's own
+//! TCP. Whoever takes a [`Network`] runs unchanged on a simulated one.
+//!
+//! Timers are not part of it: everything waits by the runtime's clock (`tokio::time`), which a simulation
+//! pauses.
+#![forbid(unsafe_code)]
+
+mod tcp;
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite};
+
+pub use tcp::Tcp;
+
+/// A future that stays on its thread.
+pub type Soon<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// One connection. Dropped, it closes in order if nothing unread has come, and resets otherwise, as the
+/// kernel does.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {
+    /// Whether it is open and nothing has come that is not read yet, not even its end.
+    fn is_quiet(&self) -> bool;
+
+    /// Ends it by a reset, as a process that dies with data under way does.
+    fn reset(self: Box<Self>);
+}
+
+/// Where connections come in.
+pub trait Listener {
+    /// The next connection and its peer's address.
+    ///
+    /// # Errors
+    /// Those of accept(2): none of them is a reason to give the listener up.
+    fn poll_accept(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<(Box<dyn Stream>, SocketAddr)>>;
+
+    /// Where it listens; with the port that was chosen, if 0 was asked for.
+    fn local_addr(&self) -> SocketAddr;
+
+    /// While hushed, new connections neither come up nor are refused, as with a machine that vanished. For
+    /// stand-ins: a program that serves has no use for it.
+    fn hush(&mut self, hushed: bool);
+}
+
+/// The network as seen from one machine.
+pub trait Network {
+    /// Opens a connection; without delays for small writes.
+    fn connect(&self, to: SocketAddr) -> Soon<'_, io::Result<Box<dyn Stream>>>;
+
+    /// Listens at an address. One that a listener of ours just left can be taken again at once.
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
+
+    /// The time since the Unix epoch. Read it once and count on from there by the runtime's clock.
+    fn unix_now(&self) -> Duration;
+}
+
+/// The next connection of a listener.
+pub async fn accept(listener: &mut dyn Listener) -> io::Result<(Box<dyn Stream>, SocketAddr)> {
+    std::future::poll_fn(|cx| listener.poll_accept(cx)).await
+}
--- /dev/null
+++ b/crates/net/src/tcp.rs
@@ -0,0 +1,188 @@
+//! The machine's own TCP.
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{Listener, Network, Soon, Stream};
+
+/// Connections that wait to be accepted. Short of it a burst of clients loses its SYNs, and waits a second
+/// for the next try.
+const BACKLOG: i32 = 1024;
+
+/// The machine's own network, by the calling task's runtime.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Network for Tcp {
+    fn connect(&self, to: SocketAddr) -> Soon<'_, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(to).await?;
+            stream.set_nodelay(true)?;
+            Ok(Box::new(Connection(stream)) as Box<dyn Stream>)
+        })
+    }
+
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        let domain = if at.is_ipv4() { socket2::Domain::IPV4 } else { socket2::Domain::IPV6 };
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        // Connections of the listener before this one may still linger at the address.
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        let listener = TcpListener::from_std(socket.into())?;
+        let address = listener.local_addr()?;
+        Ok(Box::new(Listening { listener, address, fillers: Vec::new() }))
+    }
+
+    fn unix_now(&self) -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+}
+
+struct Connection(TcpStream);
+
+impl Stream for Connection {
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+
+    fn reset(self: Box<Self>) {
+        let _ = SockRef::from(&self.0).set_linger(Some(Duration::ZERO));
+    }
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+struct Listening {
+    listener: TcpListener,
+    address: SocketAddr,
+    /// While hushed: our own connections, which take all places in the backlog.
+    fillers: Vec<socket2::Socket>,
+}
+
+/// Linux takes one connection more than the backlog says; a few more tries cost nothing.
+const FILLERS: usize = 4;
+
+impl Listener for Listening {
+    fn poll_accept(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<(Box<dyn Stream>, SocketAddr)>> {
+        let (stream, peer) = ready!(self.listener.poll_accept(cx))?;
+        stream.set_nodelay(true)?;
+        Poll::Ready(Ok((Box::new(Connection(stream)), peer)))
+    }
+
+    fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// With the backlog full the kernel drops a SYN without a word, and no privilege is needed to have it so.
+    fn hush(&mut self, hushed: bool) {
+        let socket = SockRef::from(&self.listener);
+        if !hushed {
+            self.fillers.clear();
+            let _ = socket.listen(BACKLOG);
+            return;
+        }
+        let _ = socket.listen(0);
+        for _ in 0..FILLERS {
+            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+            let Ok(filler) = filler else { return };
+            let _ = filler.set_nonblocking(true);
+            let _ = filler.connect(&self.address.into());
+            self.fillers.push(filler);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::accept;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    fn any() -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], 0))
+    }
+
+    #[tokio::test]
+    async fn a_stream_is_quiet_until_something_comes_and_a_reset_is_told() {
+        let mut listener = Tcp.listen(any()).expect("a port");
+        let mut here = Tcp.connect(listener.local_addr()).await.expect("it listens");
+        let (mut there, _) = accept(&mut *listener).await.expect("accepted");
+        assert!(here.is_quiet());
+        there.write_all(b"x").await.expect("written");
+        let mut byte = [0; 1];
+        here.read_exact(&mut byte).await.expect("it comes");
+        assert!(here.is_quiet());
+        there.reset();
+        let end = here.read(&mut byte).await.expect_err("no orderly end");
+        assert_eq!(end.kind(), ErrorKind::ConnectionReset);
+        assert!(!here.is_quiet());
+    }
+
+    #[tokio::test]
+    async fn a_hushed_listener_neither_takes_nor_refuses_and_comes_back() {
+        let mut listener = Tcp.listen(any()).expect("a port");
+        let address = listener.local_addr();
+        listener.hush(true);
+        let try_it = || tokio::time::timeout(Duration::from_millis(300), Tcp.connect(address));
+        assert!(try_it().await.is_err(), "it came up or was refused");
+        listener.hush(false);
+        // The fillers that were let go are still in line; whoever comes now is behind them.
+        let wait = Duration::from_secs(20);
+        tokio::time::timeout(wait, Tcp.connect(address)).await.expect("in time").expect("taken");
+        drop(listener);
+        assert!(Tcp.connect(address).await.is_err());
+        Tcp.listen(address).expect("the address can be taken again");
+    }
+}
--- /dev/null
+++ b/crates/simnet/src/lib.rs
@@ -0,0 +1,186 @@
+//! A network inside one process, under the runtime's clock: TCP as far as programs can tell by what their
+//! calls return. With a paused clock on one thread the same calls give the same run, byte for byte.
+//!
+//! What it does not show: the kernel's buffers are one bounded queue a direction, descriptors cost nothing,
+//! nothing is lost or reordered on the way, and a delay is a whole number of milliseconds (the resolution
+//! of the runtime's timers); one under half a millisecond is none.
+#![forbid(unsafe_code)]
+
+mod pipe;
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::pending;
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use hollowpaddle_net::{Listener, Network, Soon, Stream};
+use rustc_hash::FxHashMap;
+use tokio::time::{Instant, sleep};
+
+use pipe::End;
+
+/// Connections that wait to be accepted; beyond, a SYN is dropped as by the kernel.
+const BACKLOG: usize = 1024;
+/// Ports that are given out for port 0 and to clients. Ever-new ones, so that none is mistaken for another's.
+const FIRST_PORT: u16 = 20_000;
+
+type Delays = Box<dyn Fn(IpAddr, IpAddr) -> Duration>;
+
+/// All machines of one simulated network.
+#[derive(Clone)]
+pub struct Fabric(Rc<Inner>);
+
+struct Inner {
+    listeners: RefCell<FxHashMap<SocketAddr, Rc<Backlog>>>,
+    delays: Delays,
+    ports: RefCell<FxHashMap<IpAddr, u16>>,
+    epoch: Duration,
+    start: Instant,
+    opened: Cell<u64>,
+}
+
+impl Fabric {
+    /// A network whose one-way delays are given by `delays`, from one address to another, and whose wall
+    /// clock says `epoch` (since the Unix epoch) now.
+    pub fn new(epoch: Duration, delays: impl Fn(IpAddr, IpAddr) -> Duration + 'static) -> Self {
+        Self(Rc::new(Inner {
+            listeners: RefCell::default(),
+            delays: Box::new(delays),
+            ports: RefCell::default(),
+            epoch,
+            start: Instant::now(),
+            opened: Cell::new(0),
+        }))
+    }
+
+    /// The network as seen from the machine at this address.
+    pub fn host(&self, ip: IpAddr) -> Rc<dyn Network> {
+        Rc::new(Host { fabric: self.0.clone(), ip })
+    }
+
+    /// Connections that came up so far.
+    pub fn opened(&self) -> u64 {
+        self.0.opened.get()
+    }
+}
+
+impl Inner {
+    fn delay(&self, from: IpAddr, to: IpAddr) -> Duration {
+        let exact = (self.delays)(from, to).as_secs_f64() * 1e3;
+        Duration::from_millis(exact.round() as u64)
+    }
+
+    fn port(&self, ip: IpAddr) -> u16 {
+        let mut ports = self.ports.borrow_mut();
+        let port = ports.entry(ip).or_insert(FIRST_PORT);
+        *port = port.checked_add(1).unwrap_or(FIRST_PORT);
+        *port
+    }
+}
+
+struct Host {
+    fabric: Rc<Inner>,
+    ip: IpAddr,
+}
+
+async fn pass(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
+
+impl Network for Host {
+    fn connect(&self, to: SocketAddr) -> Soon<'_, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move {
+            let delay = self.fabric.delay(self.ip, to.ip());
+            pass(delay).await;
+            let backlog = self.fabric.listeners.borrow().get(&to).cloned();
+            let Some(backlog) = backlog else {
+                pass(delay).await;
+                return Err(ErrorKind::ConnectionRefused.into());
+            };
+            if backlog.hushed.get() || backlog.waiting.borrow().len() >= BACKLOG {
+                return pending().await;
+            }
+            let from = SocketAddr::new(self.ip, self.fabric.port(self.ip));
+            let (here, there) = End::pair(delay);
+            self.fabric.opened.set(self.fabric.opened.get() + 1);
+            backlog.waiting.borrow_mut().push_back((there, from));
+            if let Some(waker) = backlog.waker.take() {
+                waker.wake();
+            }
+            pass(delay).await;
+            Ok(Box::new(here) as Box<dyn Stream>)
+        })
+    }
+
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        let port = if at.port() == 0 { self.fabric.port(at.ip()) } else { at.port() };
+        let address = SocketAddr::new(at.ip(), port);
+        let mut listeners = self.fabric.listeners.borrow_mut();
+        if listeners.contains_key(&address) {
+            return Err(ErrorKind::AddrInUse.into());
+        }
+        let backlog = Rc::<Backlog>::default();
+        listeners.insert(address, backlog.clone());
+        Ok(Box::new(Listening { fabric: self.fabric.clone(), address, backlog }))
+    }
+
+    fn unix_now(&self) -> Duration {
+        self.fabric.epoch + self.fabric.start.elapsed()
+    }
+}
+
+#[derive(Default)]
+struct Backlog {
+    waiting: RefCell<VecDeque<(End, SocketAddr)>>,
+    waker: Cell<Option<Waker>>,
+    hushed: Cell<bool>,
+}
+
+struct Listening {
+    fabric: Rc<Inner>,
+    address: SocketAddr,
+    backlog: Rc<Backlog>,
+}
+
+impl Drop for Listening {
+    fn drop(&mut self) {
+        self.fabric.listeners.borrow_mut().remove(&self.address);
+        let waiting = std::mem::take(&mut *self.backlog.waiting.borrow_mut());
+        for (end, _) in waiting {
+            Box::new(end).reset();
+        }
+    }
+}
+
+impl Listener for Listening {
+    fn poll_accept(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<(Box<dyn Stream>, SocketAddr)>> {
+        let next = self.backlog.waiting.borrow_mut().pop_front();
+        match next {
+            Some((end, peer)) => Poll::Ready(Ok((Box::new(end), peer))),
+            None => {
+                self.backlog.waker.set(Some(cx.waker().clone()));
+                Poll::Pending
+            }
+        }
+    }
+
+    fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn hush(&mut self, hushed: bool) {
+        self.backlog.hushed.set(hushed);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,10 @@
 #![forbid(unsafe_code)]
 
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use hollowpaddle_gateway::{Config, serve};
-use tokio::net::TcpListener;
+use hollowpaddle_net::{Network, Tcp};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -32,10 +33,10 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let config = Config::read().map_err(|e| e.to_string())?;
-    let listener = TcpListener::bind(config.listen).await;
+    let listener = Tcp.listen(config.listen);
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
-    let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let bound = listener.local_addr();
     let (reload, reloads) = mpsc::unbounded_channel();
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
@@ -50,5 +51,5 @@
     let stop = async move {
         term.recv().await;
     };
-    serve(config, listener, reloads, stop).await.map_err(|e| e.to_string())
+    serve(config, Rc::new(Tcp), listener, reloads, stop).await.map_err(|e| e.to_string())
 }
