--- /dev/null
+++ b/crates/ctl/src/in_process.rs
@@ -0,0 +1,80 @@
+//! The gateway's library as a balancer inside this process, for runs in virtual time.
+
+use std::rc::Rc;
+
+use hollowpaddle_gateway::{Config, serve};
+use hollowpaddle_rehearsal::bank::{Control, Launch, LaunchError, Launcher, Running};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+
+/// Starts gateways on their own task sets: one that is killed takes all of its tasks with it.
+pub struct InProcess;
+
+impl Launcher for InProcess {
+    fn launch(&self, launch: Launch) -> Result<Running, LaunchError> {
+        let Launch { name, listen, discovery, config, network, .. } = launch;
+        let parse = {
+            let name = name.clone();
+            move |text: &str| {
+                Config::parse("its configuration", text.as_bytes(), |variable| match variable {
+                    "LB_NAME" => Some(name.clone()),
+                    "LB_LISTEN" => Some(listen.to_string()),
+                    "LB_DISCOVERY" => Some(discovery.to_string()),
+                    _ => None,
+                })
+            }
+        };
+        let fail = |what: String| LaunchError { name: name.clone(), what };
+        let read = parse(&config).map_err(|e| fail(e.to_string()))?;
+        let listener = network.listen(listen).map_err(|e| fail(format!("{listen}: {e}")))?;
+        let (reload, reloads) = mpsc::unbounded_channel();
+        let stop = Rc::new(Notify::new());
+        let stopped = {
+            let stop = stop.clone();
+            async move { stop.notified().await }
+        };
+        let task = spawn_local(async move {
+            let tasks = LocalSet::new();
+            let serving = serve(read, network, listener, reloads, stopped);
+            tasks.run_until(serving).await.is_ok()
+        });
+        let control = Gateway {
+            task: task.abort_handle(),
+            stop,
+            reload: Box::new(move |text| {
+                if let Ok(config) = parse(text) {
+                    let _ = reload.send(config);
+                }
+            }),
+        };
+        let ended = Box::pin(async move {
+            match task.await {
+                Ok(well) => Some(if well { 0 } else { 1 }),
+                // A panic is a crash like any other; being killed is none.
+                Err(e) if e.is_panic() => Some(101),
+                Err(_) => None,
+            }
+        });
+        Ok(Running { control: Box::new(control), ended })
+    }
+}
+
+struct Gateway {
+    task: AbortHandle,
+    stop: Rc<Notify>,
+    reload: Box<dyn Fn(&str)>,
+}
+
+impl Control for Gateway {
+    fn kill(&self) {
+        self.task.abort();
+    }
+
+    fn terminate(&self) {
+        self.stop.notify_one();
+    }
+
+    fn reload(&self, config: &str) {
+        (self.reload)(config);
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,35 @@
+//! `hollowpaddlectl`, the operators' command line: a thin shell over libraries.
+#![forbid(unsafe_code)]
+
+mod in_process;
+mod rehearse;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Operators' tools for hollowpaddle.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario: real balancers against a stand-in fleet with faults, and judge the four rules.
+    ///
+    /// Exit codes: 0 no rule broken, 1 a rule broken, 2 bad input or a run that could not be played.
+    Rehearse(rehearse::Arguments),
+    /// The daemon itself, as a rehearsal starts it: by LB_* and nothing else.
+    #[command(hide = true)]
+    Daemon,
+}
+
+fn main() -> ExitCode {
+    match Arguments::parse().command {
+        Command::Rehearse(arguments) => rehearse::run(&arguments),
+        Command::Daemon => hollowpaddle::main(),
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/bank.rs
@@ -0,0 +1,364 @@
+//! The balancers of a run: how each is told what it needs, and its start, end and restart. What runs them (a
+//! process, or a library in this one) is a [`Launcher`]'s.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowpaddle_net::{Network, Soon};
+use serde_json::{Value, json};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::clients::Clients;
+use crate::list::NodeList;
+use crate::record::Seen;
+use crate::scenario::{Effect, Group, Scenario};
+use crate::stage::{Stage, Who};
+
+/// After SIGTERM new connections go on coming for so long.
+const STOP_NOTICE: Duration = Duration::from_millis(300);
+/// And SIGKILL comes this long after the longest deadline.
+const STOP_KILL: Duration = Duration::from_millis(700);
+
+/// A balancer could not be started.
+#[derive(Debug, thiserror::Error)]
+#[error("balancer {name}: {what}")]
+pub struct LaunchError {
+    /// Its name.
+    pub name: String,
+    /// What was being done, and what happened.
+    pub what: String,
+}
+
+/// What a balancer is started with.
+pub struct Launch {
+    /// `LB_NAME`.
+    pub name: String,
+    /// Its number, from 0.
+    pub number: usize,
+    /// Which start of it this is, from 1.
+    pub start: u32,
+    /// `LB_LISTEN`.
+    pub listen: SocketAddr,
+    /// `LB_DISCOVERY`.
+    pub discovery: SocketAddr,
+    /// The text of `LB_CONFIG`'s file.
+    pub config: String,
+    /// The network as it sees it.
+    pub network: Rc<dyn Network>,
+}
+
+/// What a balancer used, as far as that can be told from outside.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Resources {
+    /// Most resident memory, in KiB.
+    pub memory_kib: u64,
+    /// Open descriptors now.
+    pub descriptors: u64,
+    /// Processor time, in milliseconds.
+    pub cpu_ms: u64,
+}
+
+/// A hand on a running balancer.
+pub trait Control {
+    /// Ends it outright.
+    fn kill(&self);
+    /// Asks it to end: SIGTERM.
+    fn terminate(&self);
+    /// Replaces its configuration, and tells it so: SIGHUP.
+    fn reload(&self, config: &str);
+    /// What it uses.
+    fn resources(&self) -> Option<Resources> {
+        None
+    }
+}
+
+/// A balancer that has been started.
+pub struct Running {
+    /// A hand on it.
+    pub control: Box<dyn Control>,
+    /// Comes true once it has ended: its exit code, or `None` if it was killed.
+    pub ended: Soon<'static, Option<i32>>,
+}
+
+/// Starts balancers.
+pub trait Launcher {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// It can't be started at all.
+    fn launch(&self, launch: Launch) -> Result<Running, LaunchError>;
+}
+
+#[derive(Default)]
+struct Slot {
+    control: Option<Box<dyn Control>>,
+    start: u32,
+    address: Option<SocketAddr>,
+    peak: Resources,
+    /// Processor time of the starts before this one.
+    cpu_before: u64,
+}
+
+/// All balancers of a run.
+pub struct Bank {
+    stage: Rc<Stage>,
+    list: Rc<NodeList>,
+    clients: Rc<Clients>,
+    launcher: Rc<dyn Launcher>,
+    slots: RefCell<Vec<Slot>>,
+}
+
+impl Bank {
+    /// None is started yet.
+    pub fn new(
+        stage: &Rc<Stage>,
+        list: &Rc<NodeList>,
+        clients: &Rc<Clients>,
+        launcher: Rc<dyn Launcher>,
+    ) -> Rc<Self> {
+        let slots = (0..stage.scenario.bank.count).map(|_| Slot::default()).collect();
+        Rc::new(Self {
+            stage: stage.clone(),
+            list: list.clone(),
+            clients: clients.clone(),
+            launcher,
+            slots: RefCell::new(slots),
+        })
+    }
+
+    /// Starts a balancer, under its name and address.
+    ///
+    /// # Errors
+    /// There is no address for it, or the launcher's.
+    pub fn start(self: &Rc<Self>, balancer: usize) -> Result<(), LaunchError> {
+        let name = format!("n{balancer}");
+        let address = self.address(balancer).map_err(|e| LaunchError {
+            name: name.clone(),
+            what: format!("no address to listen on: {e}"),
+        })?;
+        let start = self.stage.next_start(balancer);
+        let launch = Launch {
+            number: balancer,
+            start,
+            listen: address,
+            discovery: self.list.address(balancer),
+            config: self.config(balancer, &name, address, start),
+            network: self.stage.ground.network(Who::Balancer(balancer)),
+            name,
+        };
+        self.stage.record.saw(Seen::Started { balancer, start });
+        let Running { control, ended } = self.launcher.launch(launch)?;
+        {
+            let slot = &mut self.slots.borrow_mut()[balancer];
+            slot.cpu_before += std::mem::take(&mut slot.peak.cpu_ms);
+            (slot.control, slot.start) = (Some(control), start);
+        }
+        let bank = self.clone();
+        spawn_local(async move {
+            let code = ended.await;
+            bank.ended(balancer, start, code);
+        });
+        let clients = self.clients.clone();
+        spawn_local(async move { clients.meet(balancer, address, start).await });
+        Ok(())
+    }
+
+    /// Where it listens, the same after a restart.
+    fn address(&self, balancer: usize) -> std::io::Result<SocketAddr> {
+        if let Some(address) = self.slots.borrow()[balancer].address {
+            return Ok(address);
+        }
+        // Its address is its own; nothing else takes the port that was free a moment ago.
+        let network = self.stage.ground.network(Who::Balancer(balancer));
+        let trial = network.listen(self.stage.ground.address(Who::Balancer(balancer)))?;
+        let address = trial.local_addr();
+        self.slots.borrow_mut()[balancer].address = Some(address);
+        Ok(address)
+    }
+
+    fn ended(&self, balancer: usize, start: u32, code: Option<i32>) {
+        let mut slots = self.slots.borrow_mut();
+        if slots[balancer].start == start {
+            slots[balancer].control = None;
+            self.clients.part(balancer);
+        }
+        self.stage.record.saw(Seen::Exited { balancer, start, code });
+    }
+
+    /// Whether it runs.
+    pub fn runs(&self, balancer: usize) -> bool {
+        self.slots.borrow()[balancer].control.is_some()
+    }
+
+    /// Kills it; the front notices after a while.
+    pub fn kill(self: &Rc<Self>, balancer: usize) {
+        let start = self.slots.borrow()[balancer].start;
+        let Some(control) = self.slots.borrow_mut()[balancer].control.take() else { return };
+        self.stage.record.saw(Seen::Killed { balancer, start });
+        control.kill();
+        let (bank, notice) = (self.clone(), self.stage.scenario.bank.notice);
+        spawn_local(async move {
+            sleep(notice).await;
+            if bank.stage.start_of(balancer) == start {
+                bank.clients.part(balancer);
+            }
+        });
+    }
+
+    /// A planned restart: SIGTERM, SIGKILL if it takes too long, and a new start.
+    pub async fn restart(self: Rc<Self>, balancer: usize) {
+        let start = self.slots.borrow()[balancer].start;
+        if !self.runs(balancer) {
+            return;
+        }
+        self.stage.record.saw(Seen::Stopping { balancer, start });
+        if let Some(control) = &self.slots.borrow()[balancer].control {
+            control.terminate();
+        }
+        sleep(STOP_NOTICE).await;
+        self.clients.part(balancer);
+        let longest = self.stage.scenario.classes.iter().map(|c| c.deadline).max();
+        let mut left = longest.unwrap_or_default() + STOP_KILL;
+        let step = Duration::from_millis(20);
+        while self.runs(balancer) && self.slots.borrow()[balancer].start == start {
+            if left.is_zero() {
+                self.kill(balancer);
+                break;
+            }
+            left = left.saturating_sub(step);
+            sleep(step).await;
+        }
+        if self.stage.start_of(balancer) == start && !self.runs(balancer) {
+            let _ = self.start(balancer);
+        }
+    }
+
+    /// Has all read their configuration again.
+    pub fn reload(&self) {
+        for balancer in 0..self.stage.scenario.bank.count {
+            let (address, start) = {
+                let slots = self.slots.borrow();
+                (slots[balancer].address, slots[balancer].start)
+            };
+            let Some(address) = address else { continue };
+            let config = self.config(balancer, &format!("n{balancer}"), address, start);
+            if let Some(control) = &self.slots.borrow()[balancer].control {
+                control.reload(&config);
+            }
+        }
+    }
+
+    /// Looks at what each uses, and keeps the most.
+    pub fn measure(&self) {
+        for slot in self.slots.borrow_mut().iter_mut() {
+            let Some(now) = slot.control.as_ref().and_then(|c| c.resources()) else { continue };
+            slot.peak.memory_kib = slot.peak.memory_kib.max(now.memory_kib);
+            slot.peak.descriptors = slot.peak.descriptors.max(now.descriptors);
+            slot.peak.cpu_ms = slot.peak.cpu_ms.max(now.cpu_ms);
+        }
+    }
+
+    /// The most that each used, where that is known.
+    pub fn resources(&self) -> Vec<Option<Resources>> {
+        let of =
+            |slot: &Slot| Resources { cpu_ms: slot.peak.cpu_ms + slot.cpu_before, ..slot.peak };
+        let known = |r: Resources| (r != Resources::default()).then_some(r);
+        self.slots.borrow().iter().map(|s| known(of(s))).collect()
+    }
+
+    /// Ends all of them.
+    pub fn end(&self) {
+        for slot in self.slots.borrow_mut().iter_mut() {
+            if let Some(control) = slot.control.take() {
+                control.kill();
+            }
+        }
+    }
+
+    fn config(&self, balancer: usize, name: &str, listen: SocketAddr, start: u32) -> String {
+        let scenario = &self.stage.scenario;
+        let seed = self.stage.plan.balancer_seeds[balancer].wrapping_add(u64::from(start));
+        json!({
+            "name": name,
+            "listen": listen.to_string(),
+            "discovery": self.list.address(balancer).to_string(),
+            "seed": format!("{seed:016x}"),
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": scenario.bank.memory_mb,
+                "sockets": scenario.bank.sockets,
+            },
+            "known": self.list.known(balancer),
+            "settings": settings(scenario, balancer),
+        })
+        .to_string()
+    }
+}
+
+/// The settings in the platform's own words.
+pub fn settings(scenario: &Scenario, balancer: usize) -> Value {
+    let ms = |d: Duration| d.as_secs_f64() * 1e3;
+    let rules = &scenario.rules;
+    let kinds = &scenario.fleet.kinds;
+    let service = |c: &crate::scenario::Class| {
+        json!({
+            "Name": c.name,
+            "Aim": ms(c.aim),
+            "Deadline": ms(c.deadline),
+            "Importance": c.worth,
+            "LateValue": c.late_worth,
+            "Effect": match c.effect {
+                Effect::Safe => "retryable",
+                Effect::Keyed => "dedup",
+                Effect::Unsafe => "fragile",
+            },
+            "Group": match c.group {
+                Group::All => "all",
+                Group::Zone => "zone",
+                Group::Cell => "cell",
+            },
+            "Window": ms(c.window),
+            "Streaming": false,
+        })
+    };
+    let cold = kinds.iter().map(|k| k.cold).max().unwrap_or_default();
+    let cold_from = kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min);
+    json!({
+        "Balancers": scenario.bank.count,
+        "Position": balancer,
+        "Zone": balancer % scenario.fleet.zones.len(),
+        "Zones": scenario.fleet.zones,
+        "MachineTypes": kinds.iter().map(|k| k.name.clone()).collect::<Vec<_>>(),
+        "Tick": 5.0,
+        "RegistryMode": if scenario.list.asked { "subscribe" } else { "automatic" },
+        "CountedBy": "work",
+        "ClientHabits": {"MarksRetry": true},
+        "Services": scenario.classes.iter().map(service).collect::<Vec<_>>(),
+        "PolicyLimits": {
+            "MaxAttempts": rules.max_attempts,
+            "SecondCopies": false,
+            "Cancelling": true,
+            "Probes": false,
+            "RetryAfter": true,
+            "MaxRetryAfter": ms(rules.max_retry_after),
+            "ConnectTimeout": ms(rules.connect_timeout),
+            "Keepalive": ms(rules.keepalive),
+            "StreamsPerConn": 1,
+        },
+        "Safety": {
+            "AnswerSlack": 20.0,
+            "AskEvery": ms(rules.ask_every),
+            "Cold": ms(cold),
+            "ColdFrom": cold_from,
+            "DrainGrace": ms(rules.drain_grace),
+            "FallMultiple": rules.fall_multiple,
+            "TipAfter": ms(rules.tip_after),
+        },
+        "Prices": {"CrossZone": 0.01, "Waste": 0.2, "LateFail": 0.03},
+        "ScoringMix": {"Whole": 0.45, "WorstWindow": 0.35, "WorstClass": 0.2},
+        "Stats": {"How": "piggyback", "Names": ["eps", "qps", "inflight"]},
+    })
+}
--- /dev/null
+++ b/crates/rehearsal/src/clients.rs
@@ -0,0 +1,234 @@
+//! Stand-in clients, and the front that deals them out among the balancers of their zone.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+
+use crate::record::Seen;
+use crate::stage::{Stage, Who};
+use crate::wire::{Ended, Message, Side, Talk};
+
+/// How long after its deadline a client still takes an answer: the way there and back, and a busy moment.
+/// An answer later than this breaks rule 1.
+pub const PATIENCE: Duration = Duration::from_millis(50);
+/// A balancer whose connections don't come up within this can't be reached.
+const CONNECT: Duration = Duration::from_secs(1);
+/// The front asks a new balancer this often whether it is ready.
+const ASK_READY: Duration = Duration::from_millis(50);
+/// How long one such question may take.
+const READY: Duration = Duration::from_secs(1);
+
+/// A kept connection, and what it was opened for.
+struct Kept {
+    talk: Talk,
+    /// The balancer's start that accepted it.
+    start: u32,
+    /// The last request on it.
+    last: Option<u32>,
+}
+
+struct Door {
+    address: Cell<SocketAddr>,
+    taken_in: Cell<bool>,
+    idle: RefCell<Vec<Kept>>,
+    places: Semaphore,
+}
+
+/// All clients, and their front.
+pub struct Clients {
+    stage: Rc<Stage>,
+    doors: Vec<Door>,
+}
+
+impl Clients {
+    /// No balancer is taken in yet.
+    pub fn new(stage: &Rc<Stage>) -> Rc<Self> {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let door = |_| Door {
+            address: Cell::new(nowhere),
+            taken_in: Cell::new(false),
+            idle: RefCell::default(),
+            places: Semaphore::new(stage.scenario.clients.connections as usize),
+        };
+        let doors = (0..stage.scenario.bank.count).map(door).collect();
+        Rc::new(Self { stage: stage.clone(), doors })
+    }
+
+    /// A balancer has been started: asks whether it is ready until it is, and takes it in. Ends without that
+    /// once it is no longer that start of it.
+    pub async fn meet(&self, balancer: usize, address: SocketAddr, start: u32) {
+        self.doors[balancer].address.set(address);
+        let network = self.stage.ground.network(Who::Clients(balancer));
+        while self.stage.start_of(balancer) == start {
+            let asked = async {
+                let mut talk = Talk::new(network.connect(address).await.ok()?);
+                let question = b"GET /-/ready HTTP/1.1\r\nHost: api.internal\r\n\r\n";
+                talk.write(question).await.ok()?;
+                talk.message(Side::Answers).await.ok()
+            };
+            let answer = timeout(READY, asked).await;
+            if matches!(answer, Ok(Some(m)) if m.status() == 200) {
+                if self.stage.start_of(balancer) == start {
+                    self.stage.record.saw(Seen::Ready { balancer, start });
+                    self.doors[balancer].taken_in.set(true);
+                }
+                return;
+            }
+            sleep(ASK_READY).await;
+        }
+    }
+
+    /// The front has noticed that a balancer is gone.
+    pub fn part(&self, balancer: usize) {
+        self.doors[balancer].taken_in.set(false);
+    }
+
+    /// Whether the front sends to a balancer.
+    pub fn taken_in(&self, balancer: usize) -> bool {
+        self.doors[balancer].taken_in.get()
+    }
+
+    /// Whom the front sends a request to: one of those that it has taken in.
+    fn choose(&self, request: u32) -> Option<usize> {
+        let all: Vec<usize> = (0..self.doors.len()).filter(|b| self.taken_in(*b)).collect();
+        let draw = self.stage.arrival(request).entry;
+        (!all.is_empty()).then(|| all[(draw % all.len() as u64) as usize])
+    }
+
+    /// One client's request, from the front to its end.
+    pub async fn ask(self: Rc<Self>, request: u32) {
+        let stage = &self.stage;
+        stage.open.set(stage.open.get() + 1);
+        match self.choose(request) {
+            Some(balancer) => self.ask_at(balancer, request).await,
+            None => stage.record.saw(Seen::Unreachable { request, balancer: usize::MAX }),
+        }
+        stage.open.set(stage.open.get() - 1);
+    }
+
+    async fn ask_at(&self, balancer: usize, request: u32) {
+        let stage = &self.stage;
+        let door = &self.doors[balancer];
+        // Its client comes once there is a connection to be had.
+        let Ok(_place) = door.places.acquire().await else { return };
+        let class = stage.class(request);
+        let mut again = false;
+        loop {
+            let kept = if again { None } else { self.idle(balancer).await };
+            let reused = kept.is_some();
+            let kept = match kept {
+                Some(kept) => Some(kept),
+                None => self.connect(balancer).await,
+            };
+            let Some(mut kept) = kept else {
+                return stage.record.saw(Seen::Unreachable { request, balancer });
+            };
+            let text = stage.request_text(request, class.deadline);
+            if kept.talk.write(text.as_bytes()).await.is_err() {
+                if reused {
+                    again = true;
+                    continue; // Closed before it was sent.
+                }
+                return stage.record.saw(Seen::Unreachable { request, balancer });
+            }
+            let start = kept.start;
+            let class_index = stage.arrival(request).class;
+            stage.record.saw(Seen::Sent { request, balancer, start, class: class_index, again });
+            kept.last = Some(request);
+            let (sent, leaves) = (Instant::now(), stage.arrival(request).leaves);
+            let answer = timeout_at(sent + class.deadline + PATIENCE, async {
+                tokio::select! {
+                    biased;
+                    answer = kept.talk.message(Side::Answers) => Some(answer),
+                    () = async {
+                        match leaves {
+                            Some(after) => sleep_until(sent + after).await,
+                            None => std::future::pending().await,
+                        }
+                    } => None,
+                }
+            });
+            match answer.await {
+                Err(_) => return stage.record.saw(Seen::GaveUp { request }),
+                Ok(None) => return stage.record.saw(Seen::Left { request }),
+                Ok(Some(Ok(message))) => {
+                    self.answered(request, &message);
+                    if kept.talk.left_over() > 0 {
+                        let bytes = kept.talk.left_over();
+                        let request = Some(request);
+                        stage.record.saw(Seen::Extra { balancer, request, bytes });
+                    } else if !message.closes() {
+                        door.idle.borrow_mut().push(kept);
+                    }
+                    return;
+                }
+                // It crossed with the close of a connection that had idled.
+                Ok(Some(Err(Ended::Closed { inside: false } | Ended::Reset { inside: false })))
+                    if reused && !again =>
+                {
+                    again = true
+                }
+                Ok(Some(Err(Ended::Closed { inside } | Ended::Reset { inside }))) => {
+                    return stage.record.saw(Seen::Broken { request, begun: inside });
+                }
+                Ok(Some(Err(Ended::Malformed(_)))) => {
+                    return stage.record.saw(Seen::Broken { request, begun: true });
+                }
+            }
+        }
+    }
+
+    fn answered(&self, request: u32, message: &Message) {
+        // The body of a node's answer names the request and the attempt.
+        let text = String::from_utf8_lossy(&message.body);
+        let attempt = match text.split_once(' ') {
+            Some((id, attempt)) if id == self.stage.arrival(request).id => attempt.parse().ok(),
+            _ => None,
+        };
+        let seconds = message.header("retry-after").and_then(|v| v.trim().parse::<f64>().ok());
+        let retry_after_ms = seconds.map(|s| (s * 1e3) as u64);
+        let status = message.status();
+        self.stage.record.saw(Seen::Answered { request, status, attempt, retry_after_ms });
+    }
+
+    /// A kept connection on which all is quiet. One on which something came unasked is told of.
+    async fn idle(&self, balancer: usize) -> Option<Kept> {
+        loop {
+            let mut kept = self.doors[balancer].idle.borrow_mut().pop()?;
+            if kept.talk.is_quiet() {
+                return Some(kept);
+            }
+            self.look(balancer, &mut kept).await;
+        }
+    }
+
+    /// Notes what came on a connection that no request is open on.
+    async fn look(&self, balancer: usize, kept: &mut Kept) {
+        let bytes = kept.talk.drain(Duration::ZERO).await;
+        if bytes > 0 {
+            self.stage.record.saw(Seen::Extra { balancer, request: kept.last, bytes });
+        }
+    }
+
+    async fn connect(&self, balancer: usize) -> Option<Kept> {
+        let start = self.stage.start_of(balancer);
+        let network = self.stage.ground.network(Who::Clients(balancer));
+        let stream = timeout(CONNECT, network.connect(self.doors[balancer].address.get()));
+        let talk = Talk::new(stream.await.ok()?.ok()?);
+        Some(Kept { talk, start, last: None })
+    }
+
+    /// At the end of a run: looks at what came unasked on all kept connections, and closes them.
+    pub async fn finish(&self) {
+        for (balancer, door) in self.doors.iter().enumerate() {
+            let kept = door.idle.take();
+            for mut kept in kept {
+                self.look(balancer, &mut kept).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/judge/requests.rs
@@ -0,0 +1,314 @@
+//! Rules 1 and 2: each request's story, from its client's side and from the nodes'.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use super::{Breach, Case, Finding, micros};
+use crate::record::{At, Fate, Line, Seen};
+use crate::scenario::{Effect, Group};
+
+/// One attempt, as its node saw it.
+#[derive(Clone, Debug)]
+struct Attempt {
+    number: u32,
+    node: usize,
+    balancer: usize,
+    first: At,
+    ended: Option<(At, Fate)>,
+    closed: Option<At>,
+}
+
+impl Attempt {
+    /// Whether its outcome proves that it never ran.
+    fn never_ran(&self) -> bool {
+        matches!(self.ended, Some((_, Fate::TurnedAway)))
+    }
+
+    /// Until when it was out, on an open connection.
+    fn out_until(&self) -> Option<At> {
+        let ended = self.ended.map(|(at, _)| at);
+        ended.into_iter().chain(self.closed).min()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Answered { status: u16, attempt: Option<u32> },
+    Broken { begun: bool },
+    Left,
+    GaveUp,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Story {
+    /// When, to which balancer and which start of it.
+    sent: Option<(At, usize, u32)>,
+    attempts: Vec<Attempt>,
+    end: Option<(At, End)>,
+}
+
+/// The life of one start of a balancer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Life {
+    stopping: Option<At>,
+    killed: Option<At>,
+    exited: Option<At>,
+}
+
+pub fn judge(case: &Case, findings: &mut Vec<Finding>) {
+    let mut stories: BTreeMap<u32, Story> = BTreeMap::new();
+    let mut whose: FxHashMap<u32, u32> = FxHashMap::default();
+    let mut lives: FxHashMap<(usize, u32), Life> = FxHashMap::default();
+    let mut found = Vec::new();
+    for line in case.trace {
+        let at = line.at;
+        let mut life = |b: &usize, s: &u32, f: &dyn Fn(&mut Life)| {
+            f(lives.entry((*b, *s)).or_default());
+        };
+        match &line.seen {
+            Seen::Sent { request, balancer, start, .. } => {
+                stories.entry(*request).or_default().sent = Some((at, *balancer, *start));
+            }
+            Seen::Answered { request, status, attempt, .. } => {
+                let end = End::Answered { status: *status, attempt: *attempt };
+                stories.entry(*request).or_default().end = Some((at, end));
+            }
+            Seen::Broken { request, begun } => {
+                stories.entry(*request).or_default().end =
+                    Some((at, End::Broken { begun: *begun }));
+            }
+            Seen::Left { request } => {
+                stories.entry(*request).or_default().end = Some((at, End::Left));
+            }
+            Seen::GaveUp { request } => {
+                stories.entry(*request).or_default().end = Some((at, End::GaveUp));
+            }
+            Seen::Extra { balancer, request, bytes } => {
+                let what = format!("{bytes} bytes came on a connection with no request open");
+                found.push((Breach::AnsweredTwice, at, Some(*balancer), *request, what));
+            }
+            Seen::Stranger { node, balancer, what } => {
+                let what = format!("node {node} was sent what no client sent: {what}");
+                found.push((Breach::Altered, at, Some(*balancer), None, what));
+            }
+            Seen::Attempt { attempt, request, node, balancer, first, .. } => {
+                whose.insert(*attempt, *request);
+                stories.entry(*request).or_default().attempts.push(Attempt {
+                    number: *attempt,
+                    node: *node,
+                    balancer: *balancer,
+                    first: *first,
+                    ended: None,
+                    closed: None,
+                });
+            }
+            Seen::Ended { attempt, fate } => {
+                with(&mut stories, &whose, *attempt, |a| a.ended = a.ended.or(Some((at, *fate))));
+            }
+            Seen::Closed { attempt } => {
+                with(&mut stories, &whose, *attempt, |a| a.closed = a.closed.or(Some(at)));
+            }
+            Seen::Stopping { balancer, start } => {
+                life(balancer, start, &|l| l.stopping = Some(at));
+            }
+            Seen::Killed { balancer, start } => life(balancer, start, &|l| l.killed = Some(at)),
+            Seen::Exited { balancer, start, .. } => life(balancer, start, &|l| l.exited = Some(at)),
+            _ => {}
+        }
+    }
+    for (request, story) in &mut stories {
+        story.attempts.sort_by_key(|a| (a.first, a.number));
+        let life = story.sent.and_then(|(_, b, s)| lives.get(&(b, s)).copied());
+        let mut judged = Judged { case, request: *request, story, found: Vec::new() };
+        judged.answer(life.unwrap_or_default());
+        judged.effects();
+        found.append(&mut judged.found);
+    }
+    // Only what is told of is looked up again.
+    for (breach, at, balancer, request, what) in found {
+        let history = request.map(|r| history(case.trace, &whose, r)).unwrap_or_default();
+        findings.push(Finding { breach, at, balancer, request, what, history });
+    }
+}
+
+fn with(
+    stories: &mut BTreeMap<u32, Story>,
+    whose: &FxHashMap<u32, u32>,
+    attempt: u32,
+    f: impl FnOnce(&mut Attempt),
+) {
+    let story = whose.get(&attempt).and_then(|r| stories.get_mut(r));
+    if let Some(a) = story.and_then(|s| s.attempts.iter_mut().find(|a| a.number == attempt)) {
+        f(a);
+    }
+}
+
+/// All that was seen of a request.
+fn history(trace: &[Line], whose: &FxHashMap<u32, u32>, request: u32) -> Vec<Line> {
+    let of = |line: &&Line| match &line.seen {
+        Seen::Sent { request: r, .. }
+        | Seen::Unreachable { request: r, .. }
+        | Seen::Answered { request: r, .. }
+        | Seen::Broken { request: r, .. }
+        | Seen::Left { request: r }
+        | Seen::GaveUp { request: r }
+        | Seen::Attempt { request: r, .. } => *r == request,
+        Seen::Extra { request: r, .. } => *r == Some(request),
+        Seen::Ran { attempt } | Seen::Ended { attempt, .. } | Seen::Closed { attempt } => {
+            whose.get(attempt) == Some(&request)
+        }
+        _ => false,
+    };
+    trace.iter().filter(of).cloned().collect()
+}
+
+type Found = (Breach, At, Option<usize>, Option<u32>, String);
+
+struct Judged<'a> {
+    case: &'a Case<'a>,
+    request: u32,
+    story: &'a Story,
+    found: Vec<Found>,
+}
+
+impl Judged<'_> {
+    fn found(&mut self, breach: Breach, at: At, balancer: usize, what: String) {
+        self.found.push((breach, at, Some(balancer), Some(self.request), what));
+    }
+
+    /// Rule 1.
+    fn answer(&mut self, life: Life) {
+        let Some((sent, balancer, _)) = self.story.sent else { return };
+        let Some((at, end)) = self.story.end else { return };
+        let after = at.ms_since(sent);
+        match end {
+            End::Left => {}
+            // Begun and not finished, the client can tell: it has failed.
+            End::Broken { begun: true } => {}
+            End::Broken { begun: false } | End::GaveUp => {
+                if self.excused(life, at) {
+                    return;
+                }
+                let how = match end {
+                    End::GaveUp => "nothing had come",
+                    _ => "the connection ended with no answer",
+                };
+                let what = format!("taken by n{balancer}, and {how} {after:.1} ms after that");
+                self.found(Breach::Lost, at, balancer, what);
+            }
+            End::Answered { status: 200, attempt } => {
+                let made = |a: &&Attempt| Some(a.number) == attempt;
+                let made = self.story.attempts.iter().find(made);
+                let whole =
+                    |a: &Attempt| matches!(a.ended, Some((_, Fate::Served | Fate::Dropped)));
+                if !made.is_some_and(whole) {
+                    let what = "answered 200 with what no node made for it".to_string();
+                    self.found(Breach::ForeignAnswer, at, balancer, what);
+                }
+            }
+            End::Answered { .. } => {}
+        }
+        if matches!(end, End::Answered { .. }) {
+            let late = |a: &&Attempt| a.first.0 > at.0 + self.case.slack;
+            let late: Vec<Attempt> = self.story.attempts.iter().filter(late).cloned().collect();
+            for a in late {
+                let ms = a.first.ms_since(at);
+                let what = format!("sent to node {} {ms:.1} ms after its final answer", a.node);
+                self.found(Breach::SentAfterAnswer, a.first, a.balancer, what);
+            }
+        }
+    }
+
+    /// Whether the balancer was killed before it could answer: the request is its client's to retry.
+    fn excused(&self, life: Life, at: At) -> bool {
+        // The client may hear of it a moment before we do.
+        let before = |then: Option<At>| then.is_some_and(|t| t.0 <= at.0 + self.case.slack);
+        if !before(life.killed) {
+            return false;
+        }
+        // What a kill finds unanswered so long after SIGTERM is lost.
+        let grace = 700_000;
+        match (life.stopping, life.killed) {
+            (Some(stop), Some(kill)) => kill.0.saturating_sub(stop.0) <= grace,
+            _ => true,
+        }
+    }
+
+    /// Rule 2.
+    fn effects(&mut self) {
+        let class =
+            &self.case.scenario.classes[self.case.plan.arrivals[self.request as usize].class];
+        let attempts = self.story.attempts.clone();
+        for (i, next) in attempts.iter().enumerate() {
+            let earlier = &attempts[..i];
+            let open = |a: &&Attempt| {
+                a.out_until().is_none_or(|until| until.0 > next.first.0 + self.case.slack)
+            };
+            if let Some(other) = earlier.iter().find(open) {
+                let what = format!(
+                    "sent to node {} while its attempt at node {} was out",
+                    next.node, other.node
+                );
+                self.found(Breach::TwoAtOnce, next.first, next.balancer, what);
+                continue;
+            }
+            if i >= self.case.scenario.rules.max_attempts {
+                let what = format!("attempt {} of {} allowed", i + 1, i);
+                self.found(Breach::TooManyAttempts, next.first, next.balancer, what);
+                continue;
+            }
+            let Some(may) = earlier.iter().find(|a| !a.never_ran()) else { continue };
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Unsafe => {
+                    let what = format!(
+                        "unsafe, may have run at node {}, and sent to node {} {:.1} ms after that",
+                        may.node,
+                        next.node,
+                        next.first.ms_since(may.first)
+                    );
+                    self.found(Breach::ResentUnsafe, next.first, next.balancer, what);
+                }
+                Effect::Keyed => {
+                    let since = next.first.ms_since(may.first);
+                    if !self.same_group(class.group, may.node, next.node) {
+                        let what = format!(
+                            "keyed, may have run at node {}, and sent to node {} of another group",
+                            may.node, next.node
+                        );
+                        self.found(Breach::ResentElsewhere, next.first, next.balancer, what);
+                    } else if next.first.0 > may.first.0 + micros(class.window) + self.case.slack {
+                        let what = format!(
+                            "keyed, may have run at node {}, and sent again {since:.1} ms after \
+                             that: its group remembers for {:.1} ms",
+                            may.node,
+                            class.window.as_secs_f64() * 1e3
+                        );
+                        self.found(Breach::ResentTooLate, next.first, next.balancer, what);
+                    }
+                }
+            }
+        }
+        let Some((at, End::Answered { status: status @ (429 | 503), .. })) = self.story.end else {
+            return;
+        };
+        let harmless = class.effect == Effect::Safe
+            || (class.effect == Effect::Keyed && class.group == Group::All);
+        // What came to a node after the refusal is another breach.
+        let may = attempts.iter().find(|a| !a.never_ran() && a.first.0 <= at.0 + self.case.slack);
+        if let Some(may) = may.filter(|_| !harmless) {
+            let what = format!("answered {status}, and it may have run at node {}", may.node);
+            self.found(Breach::RefusedAfterRun, at, may.balancer, what);
+        }
+    }
+
+    fn same_group(&self, group: Group, a: usize, b: usize) -> bool {
+        let (a, b) = (&self.case.plan.machines[a], &self.case.plan.machines[b]);
+        match group {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.cell == b.cell,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/judge/service.rs
@@ -0,0 +1,216 @@
+//! How clients were served: worth answered in time over worth asked for, as a whole and where it was worst.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::Case;
+use crate::record::{At, Seen};
+
+/// Width of the stretch that the worst one is sought among, in seconds.
+const STRETCH: usize = 10;
+/// Points of the line over time.
+const POINTS: usize = 60;
+/// Longest latency that is told apart, in microseconds.
+const LONGEST: u64 = 600_000_000;
+
+/// How many requests ended how.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Asked for by clients.
+    pub asked: u64,
+    /// 200 within the class's aim.
+    pub in_time: u64,
+    /// 200 after it.
+    pub late: u64,
+    /// 429 or 503.
+    pub refused: u64,
+    /// Any other answer, or one that broke off.
+    pub failed: u64,
+    /// No answer.
+    pub unanswered: u64,
+    /// The front had nobody to send to, or nobody took the connection.
+    pub unreachable: u64,
+    /// The client went away first.
+    pub left: u64,
+    /// Whole requests that reached nodes.
+    pub attempts: u64,
+    /// Of those, turned away by their nodes.
+    pub turned_away: u64,
+}
+
+/// One class's part.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ClassService {
+    /// Its name.
+    pub name: String,
+    /// Worth answered over worth asked for, 0 to 1.
+    pub service: f64,
+    /// Its requests.
+    pub counts: Counts,
+    /// Latency of what was served, in milliseconds: at 50, 90, 99 and 99.9 percent, and the most.
+    pub latency_ms: Option<[f64; 5]>,
+}
+
+/// How clients were served. Ratios are worth over worth, 0 to 1; what its client left counts in neither.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Service {
+    /// Over the whole run.
+    pub whole: f64,
+    /// Over the worst 10 s, by when requests were due.
+    pub worst_stretch: f64,
+    /// When those began, in seconds from the first client.
+    pub worst_stretch_at_s: usize,
+    /// Over the worst class.
+    pub worst_class: f64,
+    /// All requests.
+    pub counts: Counts,
+    /// By class.
+    pub classes: Vec<ClassService>,
+    /// Over time, in equal parts of the run.
+    pub over_time: Vec<Option<f64>>,
+    /// Seconds that one of these parts lasts.
+    pub part_s: f64,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Sum {
+    got: f64,
+    asked: f64,
+}
+
+impl Sum {
+    fn ratio(self) -> Option<f64> {
+        (self.asked > 0.0).then(|| self.got / self.asked)
+    }
+
+    fn add(&mut self, got: f64, asked: f64) {
+        self.got += got;
+        self.asked += asked;
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Outcome {
+    Answered(At, u16),
+    Broken,
+    Left,
+    Unreachable,
+}
+
+pub fn reckon(case: &Case) -> Service {
+    let classes = &case.scenario.classes;
+    let arrivals = &case.plan.arrivals;
+    let mut sent: Vec<Option<At>> = vec![None; arrivals.len()];
+    let mut ended: Vec<Option<Outcome>> = vec![None; arrivals.len()];
+    let mut counts = Counts::default();
+    for line in case.trace {
+        let mut end = |request: &u32, outcome| ended[*request as usize] = Some(outcome);
+        match &line.seen {
+            Seen::Sent { request, .. } => {
+                sent[*request as usize].get_or_insert(line.at);
+            }
+            Seen::Answered { request, status, .. } => {
+                end(request, Outcome::Answered(line.at, *status));
+            }
+            Seen::Broken { request, begun: true } => end(request, Outcome::Broken),
+            Seen::Left { request } => end(request, Outcome::Left),
+            Seen::Unreachable { request, .. } => end(request, Outcome::Unreachable),
+            Seen::Attempt { .. } => counts.attempts += 1,
+            Seen::Ended { fate: crate::record::Fate::TurnedAway, .. } => counts.turned_away += 1,
+            _ => {}
+        }
+    }
+    let seconds = case.scenario.length.as_secs_f64();
+    let parts = POINTS.min((seconds as usize).max(1));
+    let mut whole = Sum::default();
+    let mut by_second = vec![Sum::default(); seconds.ceil() as usize + 1];
+    let mut over_time = vec![Sum::default(); parts];
+    let mut by_class = vec![(Sum::default(), Counts::default()); classes.len()];
+    let histogram = || Histogram::<u64>::new_with_bounds(1, LONGEST, 3).ok();
+    let mut latency: Vec<Option<Histogram<u64>>> = classes.iter().map(|_| histogram()).collect();
+    for (i, arrival) in arrivals.iter().enumerate() {
+        let class = &classes[arrival.class];
+        let (sum, count) = &mut by_class[arrival.class];
+        count.asked += 1;
+        let took = |at: At| at.0 - sent[i].unwrap_or(at).0;
+        let got = match ended[i] {
+            Some(Outcome::Left) => {
+                count.left += 1;
+                continue;
+            }
+            Some(Outcome::Answered(at, 200)) => {
+                if let Some(h) = &mut latency[arrival.class] {
+                    h.saturating_record(took(at).max(1));
+                }
+                if took(at) <= super::micros(class.aim) {
+                    count.in_time += 1;
+                    1.0
+                } else {
+                    count.late += 1;
+                    class.late_worth
+                }
+            }
+            other => {
+                *match other {
+                    Some(Outcome::Answered(_, 429 | 503)) => &mut count.refused,
+                    Some(Outcome::Answered(..) | Outcome::Broken) => &mut count.failed,
+                    Some(Outcome::Unreachable) => &mut count.unreachable,
+                    _ => &mut count.unanswered,
+                } += 1;
+                0.0
+            }
+        };
+        let (got, asked) = (got * class.worth, class.worth);
+        sum.add(got, asked);
+        whole.add(got, asked);
+        let second = arrival.at.as_secs() as usize;
+        by_second[second].add(got, asked);
+        let part = (arrival.at.as_secs_f64() / seconds * parts as f64) as usize;
+        over_time[part.min(parts - 1)].add(got, asked);
+    }
+    let (worst_stretch_at_s, worst_stretch) = worst(&by_second, seconds as usize);
+    let percentiles = |h: &Histogram<u64>| {
+        let at = |q: f64| h.value_at_quantile(q) as f64 / 1e3;
+        (!h.is_empty()).then(|| [at(0.5), at(0.9), at(0.99), at(0.999), h.max() as f64 / 1e3])
+    };
+    let class_service = |(i, (sum, counts)): (usize, &(Sum, Counts))| ClassService {
+        name: classes[i].name.clone(),
+        service: sum.ratio().unwrap_or(1.0),
+        counts: *counts,
+        latency_ms: latency[i].as_ref().and_then(percentiles),
+    };
+    let by_class: Vec<ClassService> = by_class.iter().enumerate().map(class_service).collect();
+    for c in &by_class {
+        counts.asked += c.counts.asked;
+        counts.in_time += c.counts.in_time;
+        counts.late += c.counts.late;
+        counts.refused += c.counts.refused;
+        counts.failed += c.counts.failed;
+        counts.unanswered += c.counts.unanswered;
+        counts.unreachable += c.counts.unreachable;
+        counts.left += c.counts.left;
+    }
+    Service {
+        whole: whole.ratio().unwrap_or(1.0),
+        worst_stretch,
+        worst_stretch_at_s,
+        worst_class: by_class.iter().map(|c| c.service).fold(1.0, f64::min),
+        counts,
+        classes: by_class,
+        over_time: over_time.into_iter().map(Sum::ratio).collect(),
+        part_s: seconds / parts as f64,
+    }
+}
+
+/// The worst stretch: when it began, and its service. A shorter run is one stretch.
+fn worst(by_second: &[Sum], seconds: usize) -> (usize, f64) {
+    let last = seconds.saturating_sub(STRETCH);
+    let stretch = |from: usize| {
+        let mut sum = Sum::default();
+        for s in by_second.iter().skip(from).take(STRETCH) {
+            sum.add(s.got, s.asked);
+        }
+        (from, sum.ratio().unwrap_or(1.0))
+    };
+    (0..=last).map(stretch).min_by(|a, b| a.1.total_cmp(&b.1)).unwrap_or((0, 1.0))
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,23 @@
+//! Rehearsals: a whole stand-in fleet with seeded faults round real balancers, and a judge of the four rules
+//! that knows nothing but what the stand-ins saw on their sockets.
+//!
+//! [`scenario`] says what is to be played, [`plan`] draws what is left to chance, [`run`] plays it in real
+//! time on loopback or in virtual time on a network inside the process, [`record`] is the account of it.
+//! Stand-ins can be used one by one: [`node`], [`list`], [`clients`], and [`wire`] for peers of one's own.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod bank;
+pub mod clients;
+pub mod judge;
+pub mod list;
+pub mod node;
+pub mod plan;
+pub mod process;
+pub mod record;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod stage;
+pub mod sweep;
+pub mod wire;
--- /dev/null
+++ b/crates/rehearsal/src/node/mod.rs
@@ -0,0 +1,693 @@
+//! A stand-in node: an upstream on its own addresses, one for each balancer, so that it knows who sent what
+//! and can be out of reach for one of them. What it does with time is [`model`]'s; this is its I/O.
+
+pub mod model;
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowpaddle_net::Listener;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::plan::Machine;
+use crate::record::{At, Fate, Seen};
+use crate::scenario::{Effect, Group, Kind};
+use crate::stage::{Stage, Who};
+use crate::wire::{Ended, Message, Side, Talk};
+use model::{Fall, Model, Verdict};
+
+/// Work sent by chance that a cold node bears on top: so many requests of the mean work.
+const SLACK_REQUESTS: f64 = 3.0;
+
+/// What keeps a node from being well, by how many faults.
+#[derive(Clone, Debug, Default)]
+struct Troubles {
+    dead: u32,
+    vanished: u32,
+    draining: u32,
+    gone: bool,
+    cut: Vec<u32>,
+    slow: Vec<f64>,
+    spoil: Vec<f64>,
+}
+
+/// One load report.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    inflight: f64,
+    qps: f64,
+    eps: f64,
+}
+
+/// One stand-in node.
+pub struct Node {
+    stage: Rc<Stage>,
+    /// Its place among the machines.
+    pub place: usize,
+    machine: Machine,
+    kind: Kind,
+    troubles: RefCell<Troubles>,
+    /// The process, while there is one.
+    process: RefCell<Option<Process>>,
+    /// When the process started; for the list.
+    since: Cell<At>,
+    tipped: Cell<bool>,
+    /// Where it listens, by balancer; kept for when it comes back.
+    addresses: RefCell<Vec<SocketAddr>>,
+    /// Told whenever anything about its life changes.
+    life: watch::Sender<Life>,
+    rng: RefCell<ChaCha8Rng>,
+    errors: Cell<u64>,
+    reports: RefCell<VecDeque<(Instant, Load)>>,
+    changed: Rc<Notify>,
+}
+
+/// What connections must know of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Life {
+    /// Counts processes: a connection belongs to one.
+    process: u64,
+    alive: bool,
+    /// The machine says nothing.
+    silent: bool,
+    /// Balancers that it is out of reach for.
+    cut: Vec<bool>,
+}
+
+struct Process {
+    model: Model,
+    waiting: FxHashMap<u32, oneshot::Sender<()>>,
+    connections: u32,
+    wake: Rc<Notify>,
+    tasks: Vec<AbortHandle>,
+    listeners: Vec<Rc<RefCell<Box<dyn Listener>>>>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+impl Node {
+    /// A node that does not run yet.
+    pub fn new(stage: &Rc<Stage>, place: usize) -> Rc<Self> {
+        let machine = stage.plan.machines[place].clone();
+        let kind = stage.scenario.fleet.kinds[machine.kind].clone();
+        let balancers = stage.scenario.bank.count;
+        let troubles = Troubles { cut: vec![0; balancers], ..Troubles::default() };
+        let life = Life { cut: vec![false; balancers], ..Life::default() };
+        Rc::new(Self {
+            stage: stage.clone(),
+            place,
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(machine.seed)),
+            machine,
+            kind,
+            troubles: RefCell::new(troubles),
+            process: RefCell::default(),
+            since: Cell::default(),
+            tipped: Cell::new(false),
+            addresses: RefCell::default(),
+            life: watch::Sender::new(life),
+            errors: Cell::new(0),
+            reports: RefCell::default(),
+            changed: Rc::default(),
+        })
+    }
+
+    /// Its id in the list.
+    pub fn id(&self) -> &str {
+        &self.machine.id
+    }
+
+    /// When its process started.
+    pub fn since(&self) -> At {
+        self.since.get()
+    }
+
+    /// Whether its process runs, on a machine that speaks.
+    pub fn serves(&self) -> bool {
+        self.process.borrow().is_some() && self.troubles.borrow().vanished == 0
+    }
+
+    /// Whether it wants nothing new.
+    pub fn drains(&self) -> bool {
+        self.troubles.borrow().draining > 0
+    }
+
+    /// Where a balancer reaches it.
+    pub fn address(&self, balancer: usize) -> SocketAddr {
+        self.addresses.borrow()[balancer]
+    }
+
+    /// Where it is reached, for one that takes over its addresses.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.borrow().clone()
+    }
+
+    /// Ends once the node has changed by itself: it has fallen over.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Starts its process, at these addresses if there are any; `cold` or warm.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn start(self: &Rc<Self>, cold: bool, at: Option<Vec<SocketAddr>>) -> std::io::Result<()> {
+        if let Some(at) = at {
+            *self.addresses.borrow_mut() = at;
+        }
+        let network = self.stage.ground.network(Who::Node(self.place));
+        let mut addresses = self.addresses.borrow().clone();
+        let anywhere = self.stage.ground.address(Who::Node(self.place));
+        addresses.resize(self.stage.scenario.bank.count, anywhere);
+        let mut listeners = Vec::new();
+        for address in &mut addresses {
+            let listener = network.listen(*address)?;
+            *address = listener.local_addr();
+            listeners.push(Rc::new(RefCell::new(listener)));
+        }
+        *self.addresses.borrow_mut() = addresses;
+
+        let scenario = &self.stage.scenario;
+        let cold_ms = if cold { self.kind.cold.as_secs_f64() * 1e3 } else { 0.0 };
+        let classes = &scenario.classes;
+        let mean = classes.iter().map(|c| c.work_ms * c.share).sum::<f64>()
+            / classes.iter().map(|c| c.share).sum::<f64>().max(1e-9);
+        let fall = Fall {
+            multiple: scenario.rules.fall_multiple,
+            window: scenario.rules.tip_after.as_secs_f64() * 1e3,
+            slack: SLACK_REQUESTS * mean,
+        };
+        let mut model = Model::start(&self.kind, self.machine.speed, self.now(), cold_ms, fall);
+        model.slow = self.troubles.borrow().slow.iter().product();
+        let record = &self.stage.record;
+        self.since.set(if cold { record.now() } else { At(0) });
+        record.saw(Seen::Up {
+            node: self.place,
+            full: model.full(),
+            cold_from: self.kind.cold_from,
+            cold_ms,
+        });
+        let wake = Rc::new(Notify::new());
+        self.life.send_modify(|life| {
+            life.process += 1;
+            life.alive = true;
+        });
+        let mut tasks = Vec::new();
+        for (balancer, listener) in listeners.iter().enumerate() {
+            let accepting = self.clone().accept(balancer, listener.clone());
+            tasks.push(spawn_local(accepting).abort_handle());
+        }
+        tasks.push(spawn_local(self.clone().work(wake.clone())).abort_handle());
+        tasks.push(spawn_local(self.clone().report()).abort_handle());
+        let waiting = FxHashMap::default();
+        let process = Process { model, waiting, connections: 0, wake, tasks, listeners };
+        *self.process.borrow_mut() = Some(process);
+        self.hush();
+        Ok(())
+    }
+
+    /// Ends its process: connections are reset, what was in work is lost.
+    pub fn stop(&self) {
+        if self.process.take().is_some() {
+            self.stage.record.saw(Seen::Down { node: self.place });
+        }
+        self.life.send_modify(|life| life.alive = false);
+    }
+
+    fn now(&self) -> f64 {
+        self.stage.record.now().0 as f64 / 1e3
+    }
+
+    /// Whether it may run, as far as faults go.
+    pub fn may_run(&self) -> bool {
+        let t = self.troubles.borrow();
+        t.dead == 0 && !t.gone && !self.tipped.get()
+    }
+
+    /// Its process dies, or could come back.
+    pub fn die(&self, begins: bool) {
+        count(&mut self.troubles.borrow_mut().dead, begins);
+        if begins {
+            self.stop();
+        }
+    }
+
+    /// It is gone for good.
+    pub fn go(&self) {
+        self.troubles.borrow_mut().gone = true;
+        self.stop();
+    }
+
+    /// The machine says nothing any more, or is back: then everything on it begins anew.
+    pub fn vanish(&self, begins: bool) {
+        count(&mut self.troubles.borrow_mut().vanished, begins);
+        let silent = self.troubles.borrow().vanished > 0;
+        if !begins && !silent {
+            self.stop();
+        }
+        self.life.send_modify(|life| life.silent = silent);
+        self.hush();
+    }
+
+    /// Whether the machine is silent.
+    pub fn silent(&self) -> bool {
+        self.troubles.borrow().vanished > 0
+    }
+
+    /// Out of reach for one balancer. What it had open is reset when that is over.
+    pub fn cut(&self, balancer: usize, begins: bool) {
+        count(&mut self.troubles.borrow_mut().cut[balancer], begins);
+        let cut = self.troubles.borrow().cut[balancer] > 0;
+        self.life.send_modify(|life| life.cut[balancer] = cut);
+        self.hush();
+    }
+
+    /// Wants nothing new, or does again.
+    pub fn drain(&self, begins: bool) {
+        count(&mut self.troubles.borrow_mut().draining, begins);
+    }
+
+    /// Slower by a factor.
+    pub fn slow(&self, factor: f64, begins: bool) {
+        toggle(&mut self.troubles.borrow_mut().slow, factor, begins);
+        let slow = self.troubles.borrow().slow.iter().product();
+        self.advance();
+        if let Some(process) = &mut *self.process.borrow_mut() {
+            process.model.slow = slow;
+            process.wake.notify_one();
+        }
+    }
+
+    /// A share of its answers comes spoilt.
+    pub fn spoil(&self, share: f64, begins: bool) {
+        toggle(&mut self.troubles.borrow_mut().spoil, share, begins);
+    }
+
+    /// Has each listener say something or nothing, as things stand.
+    fn hush(&self) {
+        let life = self.life.borrow().clone();
+        if let Some(process) = &*self.process.borrow() {
+            for (listener, cut) in process.listeners.iter().zip(&life.cut) {
+                listener.borrow_mut().hush(life.silent || *cut);
+            }
+        }
+    }
+
+    /// Goes on to now, and tells whoever waits for what is done.
+    fn advance(&self) {
+        let now = self.now();
+        let mut process = self.process.borrow_mut();
+        let Some(process) = &mut *process else { return };
+        let mut finished = Vec::new();
+        let before = process.model.warmth();
+        process.model.advance(now, &mut finished);
+        let warmth = process.model.warmth();
+        if (warmth * 100.0).floor() > (before * 100.0).floor() {
+            self.stage.record.saw(Seen::Warmth { node: self.place, share: warmth });
+        }
+        for id in finished {
+            if let Some(done) = process.waiting.remove(&id) {
+                let _ = done.send(());
+            }
+        }
+    }
+
+    /// The process: finishes requests when their time has come.
+    async fn work(self: Rc<Self>, wake: Rc<Notify>) {
+        loop {
+            self.advance();
+            let next = self.process.borrow().as_ref().and_then(|p| p.model.next());
+            let wait = next.map(|at| Duration::from_secs_f64((at - self.now()).max(0.0) / 1e3));
+            // Rounded up: a moment too early there would be nothing to collect.
+            let due = wait.map(|w| Instant::now() + w + Duration::from_micros(1));
+            tokio::select! {
+                biased;
+                () = wake.notified() => {}
+                () = async {
+                    match due {
+                        Some(at) => sleep_until(at).await,
+                        None => std::future::pending().await,
+                    }
+                } => {}
+            }
+        }
+    }
+
+    /// Reports its load, now and then.
+    async fn report(self: Rc<Self>) {
+        let list = &self.stage.scenario.list;
+        let phase: f64 = self.rng.borrow_mut().random();
+        sleep(list.report_period.mul_f64(phase)).await;
+        let (mut served, mut errors) = (0, self.errors.get());
+        loop {
+            let now = match &*self.process.borrow() {
+                Some(p) => (p.model.held() as f64, p.model.served()),
+                None => return,
+            };
+            let per_second = 1.0 / list.report_period.as_secs_f64();
+            let load = Load {
+                inflight: now.0,
+                qps: (now.1.saturating_sub(served)) as f64 * per_second,
+                eps: self.errors.get().saturating_sub(errors) as f64 * per_second,
+            };
+            (served, errors) = (now.1, self.errors.get());
+            let visible = Instant::now() + list.report_delay;
+            self.note_load(visible, load);
+            sleep(list.report_period).await;
+        }
+    }
+
+    fn note_load(&self, visible: Instant, load: Load) {
+        let mut reports = self.reports.borrow_mut();
+        reports.push_back((visible, load));
+        while reports.len() > 1 && reports[1].0 <= Instant::now() {
+            reports.pop_front();
+        }
+    }
+
+    fn load_header(&self) -> String {
+        let load = match self.reports.borrow().front() {
+            Some((at, load)) if *at <= Instant::now() => *load,
+            _ => return String::new(),
+        };
+        let noise = self.stage.scenario.list.report_noise;
+        let mut rng = self.rng.borrow_mut();
+        let mut noisy = |x: f64| x * (1.0 + noise * (rng.random::<f64>() * 2.0 - 1.0));
+        format!(
+            "X-Load: TEXT eps={:.2}, qps={:.2}, inflight={:.0}\r\n",
+            noisy(load.eps),
+            noisy(load.qps),
+            noisy(load.inflight)
+        )
+    }
+
+    async fn accept(self: Rc<Self>, balancer: usize, listener: Rc<RefCell<Box<dyn Listener>>>) {
+        loop {
+            let next = std::future::poll_fn(|cx| listener.borrow_mut().poll_accept(cx)).await;
+            let Ok((stream, _)) = next else {
+                // None of accept's errors ends a listener.
+                sleep(Duration::from_millis(5)).await;
+                continue;
+            };
+            let life = self.life.subscribe();
+            spawn_local(self.clone().converse(balancer, Talk::new(stream), life));
+        }
+    }
+
+    /// All requests of one connection.
+    async fn converse(
+        self: Rc<Self>,
+        balancer: usize,
+        mut talk: Talk,
+        mut life: watch::Receiver<Life>,
+    ) {
+        let process = life.borrow_and_update().process;
+        let crowded = {
+            let mut process = self.process.borrow_mut();
+            let Some(p) = &mut *process else { return talk.reset() };
+            p.connections += 1;
+            p.model.bother(self.kind.handshake_ms);
+            p.connections > self.kind.connections
+        };
+        let ended = {
+            let over = over(&mut life, process, balancer);
+            tokio::select! {
+                biased;
+                () = over => true,
+                () = self.requests(balancer, &mut talk, crowded) => false,
+            }
+        };
+        if ended {
+            talk.reset();
+        }
+        if let Some(p) = &mut *self.process.borrow_mut()
+            && self.life.borrow().process == process
+        {
+            p.connections -= 1;
+        }
+    }
+
+    async fn requests(self: &Rc<Self>, balancer: usize, talk: &mut Talk, crowded: bool) {
+        let record = &self.stage.record;
+        loop {
+            let idle = self.stage.scenario.rules.keepalive;
+            let message = match timeout(idle, talk.message(Side::Requests)).await {
+                Err(_) => return, // It has idled for too long.
+                Ok(Ok(message)) => message,
+                Ok(Err(Ended::Closed { inside: false } | Ended::Reset { inside: false })) => return,
+                Ok(Err(Ended::Closed { .. } | Ended::Reset { .. })) => {
+                    return record.saw(Seen::Partial { node: self.place, balancer });
+                }
+                Ok(Err(Ended::Malformed(what))) => {
+                    return record.saw(Seen::Stranger { node: self.place, balancer, what });
+                }
+            };
+            if !self.request(balancer, talk, message, crowded).await {
+                return;
+            }
+        }
+    }
+
+    /// Which request this is, if it is one that a client sent, in its form.
+    fn known(&self, message: &Message) -> Result<u32, String> {
+        let id = message.header("x-request-id").ok_or("no X-Request-Id")?;
+        let request = self.stage.request(id).ok_or_else(|| format!("no client sent {id}"))?;
+        let class = self.stage.class(request);
+        let key = match class.effect {
+            Effect::Keyed => Some(self.stage.idempotency_key(request)),
+            _ => None,
+        };
+        let fits = message.start.0 == class.effect.method()
+            && message.start.1 == self.stage.target(request)
+            && message.body == self.stage.body(request)
+            && message.header("idempotency-key") == key.as_deref();
+        if fits { Ok(request) } else { Err(format!("{id} was not sent in this form")) }
+    }
+
+    /// One request; whether the connection goes on.
+    async fn request(
+        self: &Rc<Self>,
+        balancer: usize,
+        talk: &mut Talk,
+        message: Message,
+        crowded: bool,
+    ) -> bool {
+        let record = &self.stage.record;
+        let request = match self.known(&message) {
+            Ok(request) => request,
+            Err(what) => {
+                record.saw(Seen::Stranger { node: self.place, balancer, what });
+                let _ = talk.write(answer(400, "", "").as_bytes()).await;
+                return false;
+            }
+        };
+        let attempt = record.attempt();
+        let life = self.life.borrow().clone();
+        let dark = life.silent || life.cut[balancer];
+        let first = At(record.now().0.saturating_sub(message.first.elapsed().as_micros() as u64));
+        let work_ms = self.stage.arrival(request).work_ms;
+        let start = self.stage.start_of(balancer);
+        record.saw(Seen::Attempt {
+            attempt,
+            request,
+            node: self.place,
+            balancer,
+            start,
+            first,
+            dark,
+            work_ms,
+        });
+        if dark {
+            let _lost = OnDrop::new(|| record.saw(Seen::Ended { attempt, fate: Fate::Died }));
+            let _ = talk.end().await;
+            _lost.cancel();
+            record.saw(Seen::Closed { attempt });
+            return false;
+        }
+        let fate = self.run(talk, attempt, request, crowded).await;
+        let Some(fate) = fate else { return false };
+        record.saw(Seen::Ended { attempt, fate });
+        let load = self.load_header();
+        let text = match fate {
+            Fate::Served | Fate::Dropped => {
+                answer(200, &load, &format!("{} {attempt}", self.stage.arrival(request).id))
+            }
+            Fate::Error => answer(500, &load, ""),
+            Fate::Spoilt => self.spoilt(),
+            _ => answer(503, &format!("X-Not-Run: 1\r\n{load}"), ""),
+        };
+        let written = talk.write(text.as_bytes()).await.is_ok();
+        if written && fate == Fate::Spoilt {
+            // The connection stays open, and is of no further use.
+            let _ = talk.end().await;
+            return false;
+        }
+        written && !crowded
+    }
+
+    /// Runs a request; `None` if its connection ended first.
+    async fn run(
+        self: &Rc<Self>,
+        talk: &mut Talk,
+        attempt: u32,
+        request: u32,
+        crowded: bool,
+    ) -> Option<Fate> {
+        let record = &self.stage.record;
+        if crowded || self.drains() {
+            return Some(Fate::TurnedAway);
+        }
+        if self.seen_before(request) {
+            return Some(Fate::Dropped);
+        }
+        self.advance();
+        let (tell, done) = oneshot::channel();
+        {
+            let mut process = self.process.borrow_mut();
+            let process = process.as_mut()?;
+            match process.model.arrive(attempt, self.stage.arrival(request).work_ms) {
+                Verdict::Taken => {}
+                Verdict::Full => return Some(Fate::TurnedAway),
+                Verdict::Tipped => {
+                    self.tipped.set(true);
+                    record.saw(Seen::Tipped { node: self.place });
+                    self.changed.notify_one();
+                    return Some(Fate::TurnedAway);
+                }
+            }
+            process.waiting.insert(attempt, tell);
+            process.wake.notify_one();
+        }
+        self.remember(request);
+        record.saw(Seen::Ran { attempt });
+        // Dropped here, its node has died with it.
+        let died = OnDrop::new(|| record.saw(Seen::Ended { attempt, fate: Fate::Died }));
+        tokio::select! {
+            biased;
+            done = done => {
+                done.ok()?;
+            }
+            _ = talk.end() => {
+                died.cancel();
+                // The work goes on; nobody waits for it.
+                record.saw(Seen::Closed { attempt });
+                record.saw(Seen::Ended { attempt, fate: Fate::Abandoned });
+                return None;
+            }
+        }
+        died.cancel();
+        let (error, spoil): (f64, f64) = {
+            let mut rng = self.rng.borrow_mut();
+            (rng.random(), rng.random())
+        };
+        let well: f64 = self.troubles.borrow().spoil.iter().map(|s| 1.0 - s).product();
+        Some(if spoil >= well {
+            Fate::Spoilt
+        } else if error < self.kind.error_rate {
+            self.errors.set(self.errors.get() + 1);
+            Fate::Error
+        } else {
+            Fate::Served
+        })
+    }
+
+    /// What remembers a keyed request's key: all nodes, those of a zone, or those of a cell.
+    fn group(&self, request: u32) -> Option<u64> {
+        let class = self.stage.class(request);
+        (class.effect == Effect::Keyed).then(|| match class.group {
+            Group::All => 0,
+            Group::Zone => 1 << 40 | self.machine.zone as u64,
+            Group::Cell => 2 << 40 | u64::from(self.machine.cell),
+        })
+    }
+
+    fn seen_before(&self, request: u32) -> bool {
+        let Some(group) = self.group(request) else { return false };
+        let keys = self.stage.keys.borrow();
+        keys.get(&(group, request)).is_some_and(|until| *until > Instant::now())
+    }
+
+    fn remember(&self, request: u32) {
+        if let Some(group) = self.group(request) {
+            let until = Instant::now() + self.stage.class(request).window;
+            self.stage.keys.borrow_mut().insert((group, request), until);
+        }
+    }
+
+    /// An answer that no one can read, of one of several kinds.
+    fn spoilt(&self) -> String {
+        let kind: u32 = self.rng.borrow_mut().random_range(0..4);
+        match kind {
+            0 => "\x07\x07 this is noise \x7f\x7f\r\n\r\n".to_string(),
+            1 => "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n".to_string(),
+            2 => "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand".to_string(),
+            _ => format!("HTTP/1.1 200 OK\r\n{}\r\n", "X-Noise: x\r\n".repeat(2000)),
+        }
+    }
+}
+
+/// Ends when the connection must: its process is gone, or it is back in reach.
+async fn over(life: &mut watch::Receiver<Life>, process: u64, balancer: usize) {
+    let mut was_dark = false;
+    loop {
+        {
+            let now = life.borrow_and_update();
+            // A machine that says nothing sends no reset either.
+            let dark = now.silent || now.cut[balancer];
+            if now.process != process || (!dark && (!now.alive || was_dark)) {
+                return;
+            }
+            was_dark |= dark;
+        }
+        if life.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn count(of: &mut u32, begins: bool) {
+    *of = if begins { *of + 1 } else { of.saturating_sub(1) };
+}
+
+fn toggle(all: &mut Vec<f64>, one: f64, begins: bool) {
+    if begins {
+        all.push(one);
+    } else if let Some(at) = all.iter().position(|x| *x == one) {
+        all.remove(at);
+    }
+}
+
+fn answer(status: u16, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Does something when it is dropped, unless that was called off.
+struct OnDrop<F: FnMut()>(Option<F>);
+
+impl<F: FnMut()> OnDrop<F> {
+    fn new(f: F) -> Self {
+        Self(Some(f))
+    }
+    fn cancel(mut self) {
+        self.0 = None;
+    }
+}
+
+impl<F: FnMut()> Drop for OnDrop<F> {
+    fn drop(&mut self) {
+        if let Some(f) = &mut self.0 {
+            f();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/node/model.rs
@@ -0,0 +1,314 @@
+//! A node as a model: cores that are shared evenly, a bounded waiting room, crowding, a cold start, and the
+//! push that a cold one falls over at. Time goes in, what is done comes out; no I/O.
+
+use std::collections::VecDeque;
+
+use crate::scenario::Kind;
+
+/// Milliseconds from the start of the run.
+pub type Ms = f64;
+
+/// A cold node's speed is reckoned anew this often at least.
+const WARMING_STEP: Ms = 50.0;
+/// However crowded, so much of the speed is left.
+const LEAST_SPEED: f64 = 0.1;
+/// A node is warm once it has done this share of what it could have done in its whole cold time.
+const WARM_BY_WORK: f64 = 0.3;
+/// Rounding must not leave a request unfinished for ever.
+const NOTHING: f64 = 1e-6;
+
+/// A request that the node holds.
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    id: u32,
+    /// Milliseconds of a core of speed 1.
+    left: f64,
+}
+
+/// How a cold start goes, and what it bears.
+#[derive(Clone, Copy, Debug)]
+pub struct Fall {
+    /// More than this multiple of the present capacity
+    pub multiple: f64,
+    /// for this long,
+    pub window: Ms,
+    /// and so much work by chance.
+    pub slack: f64,
+}
+
+/// Whether a request was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is in work, or waits for a slot.
+    Taken,
+    /// There is no room.
+    Full,
+    /// The node has just fallen over.
+    Tipped,
+}
+
+/// One node.
+#[derive(Clone, Debug)]
+pub struct Model {
+    kind: Kind,
+    speed: f64,
+    /// Times slower than it should be, by a fault.
+    pub slow: f64,
+    started: Ms,
+    cold: Ms,
+    /// Work done since the start.
+    done: f64,
+    working: Vec<Job>,
+    waiting: VecDeque<Job>,
+    now: Ms,
+    fall: Fall,
+    /// While cold: what was sent when, and what could be done.
+    sent: VecDeque<(Ms, f64)>,
+    /// Requests begun, by class of speed: for load reports.
+    served: u64,
+}
+
+impl Model {
+    /// A node that starts at `now`; warm from the first if `cold` is 0.
+    pub fn start(kind: &Kind, speed: f64, now: Ms, cold: Ms, fall: Fall) -> Self {
+        Self {
+            kind: kind.clone(),
+            speed,
+            slow: 1.0,
+            started: now,
+            cold,
+            done: 0.0,
+            working: Vec::new(),
+            waiting: VecDeque::new(),
+            now,
+            fall,
+            sent: VecDeque::new(),
+            served: 0,
+        }
+    }
+
+    /// Work that it can do in a millisecond once warm.
+    pub fn full(&self) -> f64 {
+        self.speed * f64::from(self.kind.cores)
+    }
+
+    /// What it can do now, as a share of that.
+    pub fn warmth(&self) -> f64 {
+        if self.cold <= 0.0 {
+            return 1.0;
+        }
+        let by_time = (self.now - self.started) / self.cold;
+        let by_work = self.done / (self.full() * self.cold * WARM_BY_WORK);
+        let grown = by_time.max(by_work).clamp(0.0, 1.0);
+        self.kind.cold_from + (1.0 - self.kind.cold_from) * grown
+    }
+
+    /// Requests that it holds.
+    pub fn held(&self) -> usize {
+        self.working.len() + self.waiting.len()
+    }
+
+    /// Requests that it has finished.
+    pub fn served(&self) -> u64 {
+        self.served
+    }
+
+    /// Speed of each request in work.
+    fn pace(&self) -> f64 {
+        let running = self.working.len() as f64;
+        if running == 0.0 {
+            return 0.0;
+        }
+        let cores = f64::from(self.kind.cores);
+        let crowd = (self.held() as f64 / cores - self.kind.crowding_from).max(0.0);
+        let fit = (1.0 - self.kind.crowding_loss * crowd / (1.0 + crowd)).max(LEAST_SPEED);
+        let all = self.speed * running.min(cores) * self.warmth() * fit / self.slow;
+        all / running
+    }
+
+    /// When something changes by itself next.
+    pub fn next(&self) -> Option<Ms> {
+        let pace = self.pace();
+        let least = self.working.iter().map(|j| j.left).reduce(f64::min)?;
+        let done = self.now + least / pace.max(NOTHING);
+        let warming = self.cold > 0.0 && self.warmth() < 1.0;
+        Some(if warming { done.min(self.now + WARMING_STEP) } else { done })
+    }
+
+    /// Goes on to `now`, and appends what was finished on the way.
+    pub fn advance(&mut self, now: Ms, finished: &mut Vec<u32>) {
+        while let Some(next) = self.next().filter(|at| *at <= now) {
+            self.work_until(next);
+            self.collect(finished);
+        }
+        self.work_until(now);
+        self.collect(finished);
+    }
+
+    fn work_until(&mut self, at: Ms) {
+        let step = (at - self.now).max(0.0);
+        let work = self.pace() * step;
+        for job in &mut self.working {
+            job.left -= work;
+        }
+        self.done += work * self.working.len() as f64;
+        self.now = self.now.max(at);
+    }
+
+    fn collect(&mut self, finished: &mut Vec<u32>) {
+        let before = finished.len();
+        self.working.retain(|job| {
+            let over = job.left <= NOTHING;
+            if over {
+                finished.push(job.id);
+            }
+            !over
+        });
+        self.served += (finished.len() - before) as u64;
+        while self.working.len() < self.kind.slots as usize {
+            let Some(job) = self.waiting.pop_front() else { return };
+            self.working.push(job);
+        }
+    }
+
+    /// A request comes at the time that it was last advanced to.
+    pub fn arrive(&mut self, id: u32, work: f64) -> Verdict {
+        if self.pushed(work) {
+            self.working.clear();
+            self.waiting.clear();
+            return Verdict::Tipped;
+        }
+        let job = Job { id, left: work };
+        if self.working.len() < self.kind.slots as usize {
+            self.working.push(job);
+        } else if self.waiting.len() < self.kind.queue as usize {
+            self.waiting.push_back(job);
+        } else {
+            return Verdict::Full;
+        }
+        Verdict::Taken
+    }
+
+    /// Work besides requests, a handshake's: it delays what is in work, and counts as sent.
+    pub fn bother(&mut self, work: f64) {
+        let n = self.working.len().max(1) as f64;
+        self.working.iter_mut().for_each(|j| j.left += work / n);
+    }
+
+    /// Notes what is sent to a cold one, and whether that is too much: all that arrives counts, also what it
+    /// turns away.
+    fn pushed(&mut self, work: f64) -> bool {
+        if self.cold <= 0.0 || self.now >= self.started + self.cold {
+            return false;
+        }
+        self.sent.push_back((self.now, work));
+        let from = self.now - self.fall.window;
+        while self.sent.front().is_some_and(|(at, _)| *at < from) {
+            self.sent.pop_front();
+        }
+        let sum: f64 = self.sent.iter().map(|(_, w)| w).sum();
+        let able = self.full() * self.warmth() * self.fall.window;
+        sum > self.fall.multiple * able + self.fall.slack
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    fn kind() -> Kind {
+        Kind {
+            name: "k".into(),
+            share: 1.0,
+            cores: 2,
+            speed: 1.0,
+            speed_cv: 0.0,
+            slots: 3,
+            queue: 1,
+            crowding_from: 1.5,
+            crowding_loss: 0.5,
+            cold_from: 0.25,
+            cold: Duration::from_secs(10),
+            connections: 10,
+            handshake_ms: 1.0,
+            error_rate: 0.0,
+        }
+    }
+
+    const FALL: Fall = Fall { multiple: 4.0, window: 2000.0, slack: 100.0 };
+
+    fn finished(model: &mut Model, at: Ms) -> Vec<u32> {
+        let mut all = Vec::new();
+        model.advance(at, &mut all);
+        all
+    }
+
+    #[test]
+    fn cores_are_shared_and_the_waiting_room_is_bounded() {
+        let mut m = Model::start(&kind(), 2.0, 0.0, 0.0, FALL);
+        for id in 0..2 {
+            assert_eq!(m.arrive(id, 100.0), Verdict::Taken);
+        }
+        assert_eq!(m.next(), Some(50.0), "each has a core of speed 2");
+        assert_eq!((m.arrive(2, 100.0), m.arrive(3, 100.0)), (Verdict::Taken, Verdict::Taken));
+        assert_eq!(m.arrive(4, 100.0), Verdict::Full);
+        // Four on two cores is half a request a core over 1.5: a sixth of the speed is lost.
+        let pace = 2.0 * 2.0 * (1.0 - 0.5 * 0.5 / 1.5) / 3.0;
+        let next = m.next().expect("busy");
+        assert!((next - 100.0 / pace).abs() < 1e-6, "{next}");
+        assert_eq!(finished(&mut m, next + 1e-3), vec![0, 1, 2]);
+        assert_eq!(m.held(), 1);
+        let last = m.next().expect("the one that waited");
+        assert_eq!(finished(&mut m, last), vec![3]);
+        assert_eq!((m.served(), m.next()), (4, None));
+    }
+
+    #[test]
+    fn a_cold_one_warms_with_time_and_sooner_with_work() {
+        let mut idle = Model::start(&kind(), 1.0, 0.0, 10_000.0, FALL);
+        assert_eq!(idle.warmth(), 0.25);
+        finished(&mut idle, 5000.0);
+        assert!((idle.warmth() - 0.625).abs() < 1e-9);
+        finished(&mut idle, 10_000.0);
+        assert_eq!(idle.warmth(), 1.0);
+        let mut busy = Model::start(&kind(), 1.0, 0.0, 10_000.0, FALL);
+        for i in 0..2500 {
+            let at = f64::from(i);
+            finished(&mut busy, at);
+            if busy.held() < 2 {
+                busy.arrive(i as u32, 10.0);
+            }
+        }
+        assert!(busy.warmth() > 0.25 + 0.75 * 0.26, "{}", busy.warmth());
+    }
+
+    #[test]
+    fn a_cold_one_falls_over_when_it_is_sent_too_much_and_not_before() {
+        let mut m = Model::start(&kind(), 1.0, 0.0, 10_000.0, FALL);
+        // 0.25 of two cores for 2 s, four times: 4,000, and 100 by chance.
+        let mut sent = 0.0;
+        while m.arrive(0, 100.0) != Verdict::Tipped {
+            sent += 100.0;
+            assert!(sent <= 4100.0, "it bears {sent}");
+        }
+        assert_eq!(sent, 4100.0);
+        // The same a little at a time never pushes it over, nor does anything a warm one.
+        let mut slow = Model::start(&kind(), 1.0, 0.0, 10_000.0, FALL);
+        for i in 0..50 {
+            finished(&mut slow, 60.0 * f64::from(i));
+            assert_ne!(slow.arrive(0, 100.0), Verdict::Tipped);
+        }
+        let mut warm = Model::start(&kind(), 1.0, 0.0, 0.0, FALL);
+        assert!((0..500).all(|_| warm.arrive(0, 100.0) != Verdict::Tipped));
+    }
+
+    #[test]
+    fn a_slow_one_takes_its_factor_longer() {
+        let mut m = Model::start(&kind(), 1.0, 0.0, 0.0, FALL);
+        m.slow = 5.0;
+        m.arrive(0, 10.0);
+        assert_eq!(finished(&mut m, 49.9), vec![]);
+        assert_eq!(finished(&mut m, 50.0), vec![0]);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/process.rs
@@ -0,0 +1,122 @@
+//! Balancers as processes of this machine, for live runs.
+
+use std::cell::Cell;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::process::Command;
+
+use crate::bank::{Control, Launch, LaunchError, Launcher, Resources, Running};
+
+/// The kernel's clock ticks a second, in which it tells processor time (proc(5); 100 on all of Linux).
+const TICKS: u64 = 100;
+
+/// Starts balancers by a command, as the platform does: `/bin/sh -c`, the LB_* variables, a file.
+pub struct Processes {
+    command: String,
+    /// Where their configurations lie; gone with us.
+    folder: tempfile::TempDir,
+    /// Where their logs go, if anywhere.
+    logs: Option<PathBuf>,
+}
+
+impl Processes {
+    /// `command` is the shell's to read. Each balancer's log goes to a file in `logs`, if there is one.
+    ///
+    /// # Errors
+    /// There is no place for temporary files, or none for logs.
+    pub fn new(command: &str, logs: Option<&Path>) -> std::io::Result<Self> {
+        if let Some(logs) = logs {
+            fs::create_dir_all(logs)?;
+        }
+        let folder = tempfile::Builder::new().prefix("rehearsal-").tempdir()?;
+        Ok(Self { command: command.to_string(), folder, logs: logs.map(Path::to_path_buf) })
+    }
+
+    fn log(&self, launch: &Launch) -> std::io::Result<Stdio> {
+        let Some(logs) = &self.logs else { return Ok(Stdio::null()) };
+        let file = logs.join(format!("{}-{}.log", launch.name, launch.start));
+        Ok(Stdio::from(fs::File::create(file)?))
+    }
+}
+
+impl Launcher for Processes {
+    fn launch(&self, launch: Launch) -> Result<Running, LaunchError> {
+        let fail = |what: String| LaunchError { name: launch.name.clone(), what };
+        let file = self.folder.path().join(format!("{}.json", launch.name));
+        fs::write(&file, &launch.config).map_err(|e| fail(format!("its configuration: {e}")))?;
+        let log = self.log(&launch).map_err(|e| fail(format!("its log: {e}")))?;
+        let mut child = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!("exec {}", self.command))
+            .env("LB_NAME", &launch.name)
+            .env("LB_LISTEN", launch.listen.to_string())
+            .env("LB_DISCOVERY", launch.discovery.to_string())
+            .env("LB_CONFIG", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| fail(format!("`{}`: {e}", self.command)))?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+        let over = Rc::new(Cell::new(false));
+        let control = Box::new(Process { pid, over: over.clone(), file });
+        let ended = Box::pin(async move {
+            let status = child.wait().await;
+            // From here on its number may be another's.
+            over.set(true);
+            status.ok().and_then(|s| s.code())
+        });
+        Ok(Running { control, ended })
+    }
+}
+
+struct Process {
+    pid: Option<Pid>,
+    over: Rc<Cell<bool>>,
+    file: PathBuf,
+}
+
+impl Process {
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid.filter(|_| !self.over.get()) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Control for Process {
+    fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    fn reload(&self, config: &str) {
+        // Replaced in one step: a reader never sees half of it.
+        let next = self.file.with_extension("next");
+        if fs::write(&next, config).and_then(|()| fs::rename(&next, &self.file)).is_ok() {
+            self.signal(Signal::HUP);
+        }
+    }
+
+    fn resources(&self) -> Option<Resources> {
+        let pid = self.pid.filter(|_| !self.over.get())?.as_raw_nonzero();
+        let folder = PathBuf::from(format!("/proc/{pid}"));
+        let status = fs::read_to_string(folder.join("status")).ok()?;
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let memory_kib = peak.split_whitespace().next()?.parse().ok()?;
+        let descriptors = fs::read_dir(folder.join("fd")).ok()?.count() as u64;
+        // The name may hold anything, parentheses too; what follows it does not.
+        let stat = fs::read_to_string(folder.join("stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some(Resources { memory_kib, descriptors, cpu_ms: ticks * 1000 / TICKS })
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/report.rs
@@ -0,0 +1,195 @@
+//! What is told of a run: a table for people, and JSON for machines.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::bank::Resources;
+use crate::judge::{Breach, Exactness, Finding, Service, Verdict, judge};
+use crate::record::{Line, Seen, digest};
+use crate::run::Played;
+
+/// Version of the JSON form. It changes when a field changes its name or meaning, not when one is added.
+pub const VERSION: u32 = 1;
+/// Broken rules that are told in full on paper; JSON has all of them.
+const TOLD: usize = 10;
+/// Lines of a history that are told on paper.
+const HISTORY: usize = 24;
+
+/// All that is told of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// [`VERSION`].
+    pub version: u32,
+    /// The scenario's name.
+    pub scenario: String,
+    /// What the plan was drawn from.
+    pub seed: u64,
+    /// `live` or `virtual`.
+    pub mode: &'static str,
+    /// SHA-256 of the plan: the same scenario and seed have the same, in either mode.
+    pub plan_digest: String,
+    /// SHA-256 of the account: in virtual time the same build has the same.
+    pub trace_digest: String,
+    /// Length of the run, in seconds.
+    pub length_s: f64,
+    /// Balancers and nodes at the start.
+    pub size: (usize, usize),
+    /// Limits of time were taken so much longer, in milliseconds.
+    pub slack_ms: f64,
+    /// How clients were served.
+    pub service: Service,
+    /// How often each rule was broken, by name.
+    pub breaches: BTreeMap<&'static str, usize>,
+    /// Every broken rule with its whole history.
+    pub findings: Vec<Finding>,
+    /// The most that each balancer used, where that is known.
+    pub resources: Vec<Option<Resources>>,
+    /// Cold nodes that fell over, whoever pushed them.
+    pub tipped: Vec<usize>,
+}
+
+impl Report {
+    /// Judges a run, and sums it up.
+    pub fn of(played: &Played) -> Self {
+        let scenario = &played.scenario;
+        let exact = if played.simulated { Exactness::simulated(scenario) } else { Exactness::LIVE };
+        let Verdict { findings, service } = judge(scenario, &played.plan, &played.trace, exact);
+        let mut breaches = BTreeMap::new();
+        for finding in &findings {
+            *breaches.entry(finding.breach.name()).or_insert(0) += 1;
+        }
+        let tipped = |l: &Line| match l.seen {
+            Seen::Tipped { node } => Some(node),
+            _ => None,
+        };
+        Self {
+            version: VERSION,
+            scenario: scenario.name.clone(),
+            seed: played.plan.seed,
+            mode: if played.simulated { "virtual" } else { "live" },
+            plan_digest: played.plan.digest(),
+            trace_digest: digest(&played.trace),
+            length_s: scenario.length.as_secs_f64(),
+            size: (scenario.bank.count, scenario.fleet.nodes),
+            slack_ms: exact.slack.as_secs_f64() * 1e3,
+            service,
+            breaches,
+            findings,
+            resources: played.resources.clone(),
+            tipped: played.trace.iter().filter_map(tipped).collect(),
+        }
+    }
+
+    /// Whether no rule was broken.
+    pub fn is_clean(&self) -> bool {
+        self.findings.is_empty()
+    }
+
+    /// Whether this one was broken.
+    pub fn has(&self, breach: Breach) -> bool {
+        self.breaches.contains_key(breach.name())
+    }
+
+    /// For people.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string cannot fail.
+        let _ = self.write(&mut out);
+        out
+    }
+
+    fn write(&self, out: &mut String) -> std::fmt::Result {
+        let (balancers, nodes) = self.size;
+        let s = &self.service;
+        writeln!(
+            out,
+            "{}, seed {}, {}: {} balancers, {} nodes, {:.0} s",
+            self.scenario, self.seed, self.mode, balancers, nodes, self.length_s
+        )?;
+        writeln!(out, "plan {}  trace {}", &self.plan_digest[..16], &self.trace_digest[..16])?;
+        writeln!(
+            out,
+            "\nservice {:.3}   worst 10 s {:.3} (from {} s)   worst class {:.3}",
+            s.whole, s.worst_stretch, s.worst_stretch_at_s, s.worst_class
+        )?;
+        writeln!(out, "{}  {:.1} s a mark, ▁ none to █ all", sparkline(&s.over_time), s.part_s)?;
+        writeln!(
+            out,
+            "\n{:<16}{:>8}{:>8}{:>7}{:>8}{:>7}{:>6}{:>7}{:>9}{:>8}{:>8}{:>8}",
+            "class", "asked", "in time", "late", "refused", "failed", "none", "left", "service",
+            "p50 ms", "p99", "most"
+        )?;
+        for c in &s.classes {
+            let n = &c.counts;
+            let ms = |i: usize| c.latency_ms.map_or("-".to_string(), |l| format!("{:.0}", l[i]));
+            writeln!(
+                out,
+                "{:<16}{:>8}{:>8}{:>7}{:>8}{:>7}{:>6}{:>7}{:>9.3}{:>8}{:>8}{:>8}",
+                c.name,
+                n.asked,
+                n.in_time,
+                n.late,
+                n.refused,
+                n.failed,
+                n.unanswered + n.unreachable,
+                n.left,
+                c.service,
+                ms(0),
+                ms(2),
+                ms(4)
+            )?;
+        }
+        let n = &s.counts;
+        writeln!(
+            out,
+            "attempts {} ({:.3} a request), turned away {}, cold nodes fallen over {}",
+            n.attempts,
+            n.attempts as f64 / (n.asked.max(1)) as f64,
+            n.turned_away,
+            self.tipped.len()
+        )?;
+        for (i, used) in self.resources.iter().enumerate() {
+            if let Some(r) = used {
+                let (mib, cpu) = (r.memory_kib as f64 / 1024.0, r.cpu_ms as f64 / 1e3);
+                let fds = r.descriptors;
+                writeln!(out, "n{i}: memory {mib:.1} MiB, descriptors {fds}, cpu {cpu:.2} s")?;
+            }
+        }
+        if self.is_clean() {
+            return writeln!(out, "\nno rule broken");
+        }
+        let kinds: Vec<String> = self.breaches.iter().map(|(n, c)| format!("{n} {c}")).collect();
+        writeln!(out, "\nRULES BROKEN: {}", kinds.join(", "))?;
+        for finding in self.findings.iter().take(TOLD) {
+            writeln!(
+                out,
+                "\nrule {} {} at {:.3} s: {}",
+                finding.breach.rule(),
+                finding.breach.name(),
+                finding.at.0 as f64 / 1e6,
+                finding.what
+            )?;
+            for line in finding.history.iter().take(HISTORY) {
+                let seen = serde_json::to_string(&line.seen).unwrap_or_default();
+                writeln!(out, "  {:>10.3}  {seen}", line.at.0 as f64 / 1e6)?;
+            }
+            if finding.history.len() > HISTORY {
+                writeln!(out, "  ... and {} more", finding.history.len() - HISTORY)?;
+            }
+        }
+        if self.findings.len() > TOLD {
+            writeln!(out, "\n... and {} more; --json has all", self.findings.len() - TOLD)?;
+        }
+        Ok(())
+    }
+}
+
+fn sparkline(points: &[Option<f64>]) -> String {
+    const BARS: [char; 8] = ['▁', '▂', '▃', '▄', '▅', '▆', '▇', '█'];
+    let bar = |p: &Option<f64>| {
+        p.map_or(' ', |x| BARS[((x * 8.0) as usize).min(BARS.len() - 1)])
+    };
+    points.iter().map(bar).collect()
+}
--- /dev/null
+++ b/crates/rehearsal/src/run.rs
@@ -0,0 +1,281 @@
+//! One run from the first start to the last answer: who is there, when clients come, and who strikes whom.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::bank::{Bank, LaunchError, Launcher, Resources};
+use crate::clients::{Clients, PATIENCE};
+use crate::list::NodeList;
+use crate::node::Node;
+use crate::plan::{Act, Plan};
+use crate::record::{At, Line, Phase, Seen};
+use crate::scenario::{FaultKind, Scenario};
+use crate::stage::{Ground, Stage};
+
+/// Clients come when all balancers are ready, or after this.
+const READY: Duration = Duration::from_secs(30);
+/// What balancers use is looked at this often.
+const MEASURE: Duration = Duration::from_millis(500);
+/// After the last answer is due, so that what should not come has time to.
+const AFTER: Duration = Duration::from_millis(500);
+
+/// A run could not be played.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A stand-in could not listen.
+    #[error("a stand-in could not listen: {0}; are there descriptors and loopback addresses left?")]
+    Listen(#[from] io::Error),
+    /// A balancer could not be started.
+    #[error(transparent)]
+    Launch(#[from] LaunchError),
+    /// No balancer was ready in time.
+    #[error("no balancer was ready within {0:?}; what does its log say?")]
+    NoneReady(Duration),
+}
+
+/// What a run left behind.
+#[derive(Debug)]
+pub struct Played {
+    /// What was played.
+    pub scenario: Scenario,
+    /// What was drawn.
+    pub plan: Plan,
+    /// The account.
+    pub trace: Vec<Line>,
+    /// When the first client could come.
+    pub began: At,
+    /// The most that each balancer used.
+    pub resources: Vec<Option<Resources>>,
+    /// Whether time and network were simulated.
+    pub simulated: bool,
+}
+
+/// How far a run is, for whoever waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Of the run's own time.
+    pub at: Duration,
+    /// Its length.
+    pub of: Duration,
+    /// Requests whose end is not known yet.
+    pub open: usize,
+}
+
+/// Plays a scenario in virtual time, on a network inside this process. The same scenario, seed and build give
+/// the same account, byte for byte.
+///
+/// # Errors
+/// A balancer can't be started, or none is ready.
+pub fn play_virtual(
+    scenario: &Scenario,
+    seed: u64,
+    launcher: Rc<dyn Launcher>,
+) -> Result<Played, RunError> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
+    let plan = Plan::draw(scenario, seed);
+    LocalSet::new().block_on(&runtime, async {
+        let ground = Ground::simulated(scenario, &plan);
+        play(scenario.clone(), plan, ground, launcher, |_| {}).await
+    })
+}
+
+/// Plays a scenario in real time, on this machine's loopback.
+///
+/// # Errors
+/// A stand-in can't listen, a balancer can't be started, or none is ready.
+pub fn play_live(
+    scenario: &Scenario,
+    seed: u64,
+    launcher: Rc<dyn Launcher>,
+    progress: impl Fn(Progress) + 'static,
+) -> Result<Played, RunError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let plan = Plan::draw(scenario, seed);
+    LocalSet::new().block_on(&runtime, async {
+        play(scenario.clone(), plan, Ground::loopback(), launcher, progress).await
+    })
+}
+
+struct World {
+    stage: Rc<Stage>,
+    nodes: Vec<Rc<Node>>,
+    list: Rc<NodeList>,
+    bank: Rc<Bank>,
+}
+
+async fn play(
+    scenario: Scenario,
+    plan: Plan,
+    ground: Ground,
+    launcher: Rc<dyn Launcher>,
+    progress: impl Fn(Progress) + 'static,
+) -> Result<Played, RunError> {
+    let stage = Stage::new(scenario, plan, ground);
+    let scenario = &stage.scenario;
+    let nodes: Vec<Rc<Node>> =
+        (0..stage.plan.machines.len()).map(|n| Node::new(&stage, n)).collect();
+    for node in &nodes[..scenario.fleet.nodes] {
+        node.start(false, None)?;
+    }
+    let list = NodeList::start(&stage, &nodes)?;
+    let clients = Clients::new(&stage);
+    let bank = Bank::new(&stage, &list, &clients, launcher);
+    for balancer in 0..scenario.bank.count {
+        bank.start(balancer)?;
+    }
+    let started = Instant::now();
+    let ready = || (0..scenario.bank.count).filter(|b| clients.taken_in(*b)).count();
+    while ready() < scenario.bank.count && started.elapsed() < READY {
+        sleep(Duration::from_millis(5)).await;
+    }
+    if ready() == 0 {
+        bank.end();
+        return Err(RunError::NoneReady(READY));
+    }
+    let world = Rc::new(World { stage: stage.clone(), nodes, list, bank: bank.clone() });
+    for node in &world.nodes {
+        spawn_local(world.clone().tipping(node.clone()));
+    }
+    let (began, zero) = (stage.record.now(), Instant::now());
+    let faults = spawn_local(world.clone().faults(zero));
+    let measure = spawn_local({
+        let (bank, stage) = (bank.clone(), stage.clone());
+        async move {
+            loop {
+                bank.measure();
+                let of = stage.scenario.length;
+                progress(Progress { at: zero.elapsed().min(of), of, open: stage.open.get() });
+                sleep(MEASURE).await;
+            }
+        }
+    });
+    for request in 0..stage.plan.arrivals.len() as u32 {
+        sleep_until(zero + stage.arrival(request).at).await;
+        spawn_local(clients.clone().ask(request));
+    }
+    sleep_until(zero + scenario.length).await;
+    let longest = scenario.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let end = Instant::now() + longest + PATIENCE + AFTER;
+    while stage.open.get() > 0 && Instant::now() < end {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(AFTER).await;
+    clients.finish().await;
+    bank.measure();
+    faults.abort();
+    measure.abort();
+    let resources = bank.resources();
+    let trace = stage.record.take();
+    bank.end();
+    Ok(Played {
+        scenario: scenario.clone(),
+        plan: stage.plan.clone(),
+        trace,
+        began,
+        resources,
+        simulated: stage.ground.is_simulated(),
+    })
+}
+
+impl World {
+    async fn faults(self: Rc<Self>, zero: Instant) {
+        for act in self.stage.plan.acts.clone() {
+            sleep_until(zero + act.at).await;
+            self.stage.record.saw(Seen::Fault { fault: act.fault, begins: act.begins });
+            self.strike(&act);
+        }
+    }
+
+    /// A node that has fallen over stays down.
+    async fn tipping(self: Rc<Self>, node: Rc<Node>) {
+        loop {
+            node.changed().await;
+            node.stop();
+            self.gone(&node, self.stage.scenario.list.notice);
+        }
+    }
+
+    fn gone(&self, node: &Node, after: Duration) {
+        self.list.learn(node.place, Phase::Deleted, node.since(), after);
+    }
+
+    /// Starts a node again, if nothing keeps it down.
+    fn back(&self, node: &Rc<Node>) {
+        if node.serves() || !node.may_run() || node.silent() {
+            return;
+        }
+        if node.start(true, None).is_ok() {
+            let phase = if node.drains() { Phase::Draining } else { Phase::Serving };
+            self.list.learn(node.place, phase, node.since(), self.stage.scenario.list.add);
+        }
+    }
+
+    fn strike(self: &Rc<Self>, act: &Act) {
+        let begins = act.begins;
+        let list = &self.stage.scenario.list;
+        let struck = act.nodes.iter().map(|n| &self.nodes[*n]);
+        match &self.stage.scenario.faults[act.fault].kind {
+            FaultKind::Die => struck.for_each(|node| {
+                node.die(begins);
+                if begins { self.gone(node, list.notice) } else { self.back(node) }
+            }),
+            FaultKind::Vanish => struck.for_each(|node| {
+                node.vanish(begins);
+                if begins { self.gone(node, list.silent_notice) } else { self.back(node) }
+            }),
+            FaultKind::Unreachable { balancer } => {
+                struck.for_each(|node| node.cut(*balancer, begins));
+            }
+            FaultKind::Drain => struck.for_each(|node| {
+                node.drain(begins);
+                if begins && node.serves() {
+                    self.list.learn(node.place, Phase::Draining, node.since(), Duration::ZERO);
+                } else if !begins {
+                    node.stop();
+                    self.back(node);
+                }
+            }),
+            FaultKind::Replace { .. } if begins => struck.for_each(|node| {
+                node.go();
+                self.gone(node, list.notice);
+            }),
+            FaultKind::Replace { same_address } => {
+                for (old, new) in act.nodes.iter().zip(&act.newcomers) {
+                    let (old, new) = (&self.nodes[*old], &self.nodes[*new]);
+                    let at = same_address.then(|| old.addresses());
+                    if new.start(true, at).is_ok() {
+                        self.list.learn(new.place, Phase::Serving, new.since(), list.add);
+                    }
+                }
+            }
+            FaultKind::Slow { factor } => struck.for_each(|node| node.slow(*factor, begins)),
+            FaultKind::Spoil { share } => struck.for_each(|node| node.spoil(*share, begins)),
+            FaultKind::ListDown => self.list.down(begins),
+            FaultKind::ListLate { by } => self.list.late(*by, begins),
+            FaultKind::ListStale => self.list.stale(begins),
+            FaultKind::ListDisorder => self.list.disorder(begins),
+            // Drawn into the arrivals.
+            FaultKind::Burst { .. } | FaultKind::Heavy { .. } => {}
+            FaultKind::BalancerKill { balancer } if begins => self.bank.kill(*balancer),
+            FaultKind::BalancerKill { balancer } => {
+                if !self.bank.runs(*balancer) {
+                    let _ = self.bank.start(*balancer);
+                }
+            }
+            FaultKind::BalancerRestart { balancer } if begins => {
+                spawn_local(self.bank.clone().restart(*balancer));
+            }
+            FaultKind::ListMove if begins => {
+                if self.list.relocate().is_ok() {
+                    self.bank.reload();
+                }
+            }
+            FaultKind::BalancerRestart { .. } | FaultKind::ListMove => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -0,0 +1,389 @@
+//! What a rehearsal is to play: fleet, balancers, classes, load and faults. Plain data; [`read`] makes it
+//! from a TOML file, and `plan` draws everything that is left to chance.
+
+mod fields;
+mod read;
+
+use std::time::Duration;
+
+pub use fields::{Problem, Problems};
+
+/// A whole scenario. Every time is a length; work is in milliseconds of one core of speed 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// Its name, as in the report.
+    pub name: String,
+    /// One line for people.
+    pub about: String,
+    /// How long clients come; the run goes on until all is answered.
+    pub length: Duration,
+    /// The upstreams.
+    pub fleet: Fleet,
+    /// The bank.
+    pub bank: Bank,
+    /// How clients behave.
+    pub clients: Clients,
+    /// Classes of requests, by index.
+    pub classes: Vec<Class>,
+    /// How many come, and when.
+    pub load: Load,
+    /// The list of upstreams.
+    pub list: ListService,
+    /// Figures of the four rules.
+    pub rules: Rules,
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
+}
+
+/// The upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Names of the zones; nodes and balancers are spread over them evenly.
+    pub zones: Vec<String>,
+    /// How many there are at the start.
+    pub nodes: usize,
+    /// Nodes of one zone that share the keys they have seen.
+    pub cell_size: usize,
+    /// Kinds of machine.
+    pub kinds: Vec<Kind>,
+    /// One-way delay inside a zone and across zones. Virtual runs only: loopback has none.
+    pub same_zone: Duration,
+    /// See `same_zone`.
+    pub cross_zone: Duration,
+}
+
+/// A kind of machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kind {
+    /// As the list names it.
+    pub name: String,
+    /// Its part of the fleet, beside the other kinds' parts.
+    pub share: f64,
+    /// Requests that run at full speed side by side.
+    pub cores: u32,
+    /// Speed of a core.
+    pub speed: f64,
+    /// How far single machines lie from that: coefficient of variation.
+    pub speed_cv: f64,
+    /// Requests in work at once; they share the cores evenly.
+    pub slots: u32,
+    /// Requests that wait for a slot; what comes beyond is turned away.
+    pub queue: u32,
+    /// Holding more than this many requests a core costs speed,
+    pub crowding_from: f64,
+    /// this share of it for each further request a core.
+    pub crowding_loss: f64,
+    /// Capacity right after a start, as a share of the full one.
+    pub cold_from: f64,
+    /// Warm after this time at the latest, and sooner with work done.
+    pub cold: Duration,
+    /// Connections that it holds; a request on one beyond is turned away.
+    pub connections: u32,
+    /// Work of taking a connection.
+    pub handshake_ms: f64,
+    /// Share of requests that end in a 500 after they have run.
+    pub error_rate: f64,
+}
+
+/// The balancers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bank {
+    /// How many.
+    pub count: usize,
+    /// Memory that each is told it has.
+    pub memory_mb: u32,
+    /// Descriptors that each is told it has.
+    pub sockets: u32,
+    /// How long the front goes on sending to one that has died.
+    pub notice: Duration,
+}
+
+/// How clients behave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clients {
+    /// Share of requests whose client goes away before its answer.
+    pub leave_share: f64,
+    /// Connections that the clients of one balancer open at most for requests.
+    pub connections: u32,
+}
+
+/// What repeating a request can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing.
+    Safe,
+    /// Repeats are dropped by nodes of one group for a while.
+    Keyed,
+    /// Harm.
+    Unsafe,
+}
+
+/// Which nodes drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// As in `X-Class`.
+    pub name: String,
+    /// Its part of the load, beside the other classes' parts.
+    pub share: f64,
+    /// Mean work.
+    pub work_ms: f64,
+    /// Spread of the work (lognormal): coefficient of variation.
+    pub work_cv: f64,
+    /// An answer within this earns the full worth.
+    pub aim: Duration,
+    /// How long its clients wait.
+    pub deadline: Duration,
+    /// What a served request is worth.
+    pub worth: f64,
+    /// Share of that for an answer after the aim.
+    pub late_worth: f64,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// For a keyed one.
+    pub group: Group,
+    /// For a keyed one: for how long repeats are dropped.
+    pub window: Duration,
+}
+
+/// How the load goes over time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// The same all the time.
+    Steady,
+    /// Slow waves.
+    Wave,
+    /// Short bursts at random.
+    Bursty,
+    /// From low to high.
+    Ramp,
+    /// One broad hill in the middle.
+    Round,
+}
+
+/// How many requests come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Load {
+    /// Mean work asked for, as a share of what the warm fleet can do.
+    pub of_capacity: f64,
+    /// How it goes over time.
+    pub shape: Shape,
+    /// How far it goes up and down, as a share of the mean.
+    pub swing: f64,
+}
+
+/// The node list: late, and one service for all balancers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListService {
+    /// Balancers must ask; otherwise an agent on their machine tells them by itself.
+    pub asked: bool,
+    /// From a process's end to the list's knowing it.
+    pub notice: Duration,
+    /// The same for a machine that says nothing.
+    pub silent_notice: Duration,
+    /// From a start to its entry.
+    pub add: Duration,
+    /// Changes go out this often.
+    pub period: Duration,
+    /// Time that one call takes; calls of all balancers wait in turn.
+    pub call: Duration,
+    /// A call that would wait longer than this fails.
+    pub call_timeout: Duration,
+    /// How often nodes report their load, and how late and noisy (share) the reports are.
+    pub report_period: Duration,
+    /// See `report_period`.
+    pub report_delay: Duration,
+    /// See `report_period`.
+    pub report_noise: f64,
+}
+
+/// Figures of the four rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// Rule 2: most attempts of one request.
+    pub max_attempts: usize,
+    /// Rule 3: sends to a node that drains or is gone must end within this.
+    pub drain_grace: Duration,
+    /// Rule 4: a cold node falls over at more than this multiple of its present capacity
+    pub fall_multiple: f64,
+    /// Rule 4: for this long.
+    pub tip_after: Duration,
+    /// Where the list is asked: so long without a word and a balancer counts as told.
+    pub ask_every: Duration,
+    /// Longest `Retry-After` that clients heed.
+    pub max_retry_after: Duration,
+    /// A connection not made within this has failed.
+    pub connect_timeout: Duration,
+    /// Idle connections to nodes close after this.
+    pub keepalive: Duration,
+}
+
+/// Something that goes wrong for a while.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// What.
+    pub kind: FaultKind,
+    /// From when, counted from the first request.
+    pub start: Duration,
+    /// For how long.
+    pub length: Duration,
+    /// Which nodes, where it is about nodes.
+    pub selection: Selection,
+    /// Faults of one group strike the same nodes.
+    pub group: Option<String>,
+    /// Where the file says so.
+    pub line: usize,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FaultKind {
+    /// The process dies, and comes back cold at the end.
+    Die,
+    /// The machine says nothing, and comes back cold at the end.
+    Vanish,
+    /// Out of reach for one balancer, as a cut on the way.
+    Unreachable {
+        /// Its number, from 0.
+        balancer: usize,
+    },
+    /// Drains; at the end it is gone, and a cold one takes its place under its id.
+    Drain,
+    /// Dies for good; a cold machine under a new id takes over at the end.
+    Replace {
+        /// At the address of the old one.
+        same_address: bool,
+    },
+    /// Runs slower by this factor.
+    Slow {
+        /// Above 1.
+        factor: f64,
+    },
+    /// This share of its answers comes spoilt.
+    Spoil {
+        /// 0 to 1.
+        share: f64,
+    },
+    /// The list is out of reach.
+    ListDown,
+    /// News comes so much later.
+    ListLate {
+        /// On top of the usual.
+        by: Duration,
+    },
+    /// The list answers, and learns nothing.
+    ListStale,
+    /// Messages of the list come twice, or older ones after newer ones.
+    ListDisorder,
+    /// This many times as many requests come.
+    Burst {
+        /// Above 1.
+        factor: f64,
+    },
+    /// A share of one class is much more work.
+    Heavy {
+        /// By index.
+        class: usize,
+        /// Of its requests.
+        share: f64,
+        /// Times the usual work.
+        factor: f64,
+    },
+    /// A balancer is killed outright, and started again at the end.
+    BalancerKill {
+        /// Its number, from 0.
+        balancer: usize,
+    },
+    /// A planned restart: SIGTERM, and started again once it has ended.
+    BalancerRestart {
+        /// Its number, from 0.
+        balancer: usize,
+    },
+    /// The list moves to another address; balancers are told by SIGHUP.
+    ListMove,
+}
+
+impl FaultKind {
+    /// Its name in a scenario.
+    pub fn name(&self) -> &'static str {
+        match self {
+            FaultKind::Die => "die",
+            FaultKind::Vanish => "vanish",
+            FaultKind::Unreachable { .. } => "unreachable",
+            FaultKind::Drain => "drain",
+            FaultKind::Replace { .. } => "replace",
+            FaultKind::Slow { .. } => "slow",
+            FaultKind::Spoil { .. } => "spoil",
+            FaultKind::ListDown => "list-down",
+            FaultKind::ListLate { .. } => "list-late",
+            FaultKind::ListStale => "list-stale",
+            FaultKind::ListDisorder => "list-disorder",
+            FaultKind::Burst { .. } => "burst",
+            FaultKind::Heavy { .. } => "heavy",
+            FaultKind::BalancerKill { .. } => "balancer-kill",
+            FaultKind::BalancerRestart { .. } => "balancer-restart",
+            FaultKind::ListMove => "list-move",
+        }
+    }
+
+    /// Whether it strikes nodes, and so needs a selection of them.
+    pub fn strikes_nodes(&self) -> bool {
+        matches!(
+            self,
+            FaultKind::Die
+                | FaultKind::Vanish
+                | FaultKind::Unreachable { .. }
+                | FaultKind::Drain
+                | FaultKind::Replace { .. }
+                | FaultKind::Slow { .. }
+                | FaultKind::Spoil { .. }
+        )
+    }
+}
+
+/// Which nodes a fault strikes: those that satisfy all that is said.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Selection {
+    /// Of those that the rest allows, drawn at random.
+    pub share: Option<f64>,
+    /// Of this zone, by index.
+    pub zone: Option<usize>,
+    /// Of this cell.
+    pub cell: Option<u32>,
+    /// These, by their place in the fleet.
+    pub nodes: Option<Vec<usize>>,
+}
+
+impl Fleet {
+    /// Zone of the node at this place: they alternate.
+    pub fn zone_of(&self, node: usize) -> usize {
+        node % self.zones.len()
+    }
+
+    /// Cell of the node at this place; no two zones share a number.
+    pub fn cell_of(&self, node: usize) -> u32 {
+        let zones = self.zones.len();
+        let (zone, place) = (node % zones, node / zones);
+        ((place / self.cell_size) * zones + zone) as u32
+    }
+}
+
+impl Scenario {
+    /// Reads a scenario. `file` is how messages call it.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it, each with its line, in the order of the file.
+    pub fn read(file: &str, text: &str) -> Result<Self, Problems> {
+        read::read(file, text)
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/scenario/read.rs
@@ -0,0 +1,336 @@
+//! A scenario from its TOML file: names, units, ranges and defaults.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use toml::de::DeTable;
+
+use super::fields::{File, Problems, Table};
+use super::*;
+
+/// Limits of one machine: beyond, a run takes hours or the descriptors of any usual machine.
+const MOST_NODES: u32 = 10_000;
+const MOST_BALANCERS: u32 = 100;
+const LONGEST_S: f64 = 24.0 * 3600.0;
+
+const ONE: RangeInclusive<f64> = 0.0..=1.0;
+
+pub fn read(name: &str, text: &str) -> Result<Scenario, Problems> {
+    let file = File::new(name, text);
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let at = error.span().map_or(0, |s| s.start);
+        file.wrong(at, format!("this is not TOML: {}", error.message().trim()));
+    }
+    // What a half-read file lacks is no mistake of its own.
+    if !errors.is_empty() {
+        return Err(file.problems().unwrap_or(Problems(Vec::new())));
+    }
+    let scenario = scenario(&Table::top(&file, table.get_ref()), table.get_ref(), &file);
+    match file.problems() {
+        None => Ok(scenario),
+        Some(problems) => Err(problems),
+    }
+}
+
+fn scenario<'f, 'a>(_: &Table<'f, 'a>, table: &'f DeTable<'a>, file: &'f File<'a>) -> Scenario {
+    let top = Table::top(file, table);
+    let classes: Vec<Class> = top.tables("classes").into_iter().map(class).collect();
+    if classes.is_empty() {
+        top.wrong(&(0..0), "there is no class: expected at least one [[classes]]; add one");
+    }
+    let fleet = top.table("fleet").map(fleet);
+    if fleet.is_none() && !top.has("fleet") {
+        top.wrong(&(0..0), "there is no fleet: expected a table [fleet]; add one");
+    }
+    let fleet = fleet.unwrap_or_else(|| Fleet {
+        zones: vec!["a".to_string()],
+        nodes: 1,
+        cell_size: 1,
+        kinds: vec![],
+        same_zone: Duration::ZERO,
+        cross_zone: Duration::ZERO,
+    });
+    let bank = top.table("balancers").map(bank).unwrap_or(Bank {
+        count: 1,
+        memory_mb: 192,
+        sockets: 1024,
+        notice: Duration::from_secs(2),
+    });
+    let known = Known { fleet: &fleet, bank: &bank, classes: &classes };
+    let faults = top.tables("faults").into_iter().map(|t| fault(t, &known)).collect();
+    let scenario = Scenario {
+        name: top.text("name", None),
+        about: top.text("about", Some("")),
+        length: top.time("length_s", 1.0..=LONGEST_S, None),
+        bank,
+        clients: top
+            .table("clients")
+            .map(clients)
+            .unwrap_or(Clients { leave_share: 0.0, connections: 300 }),
+        load: top.table("load").map(load).unwrap_or(Load {
+            of_capacity: 0.5,
+            shape: Shape::Steady,
+            swing: 0.0,
+        }),
+        list: list(top.table("list"), file),
+        rules: rules(top.table("rules"), file),
+        fleet,
+        classes,
+        faults,
+    };
+    top.finish();
+    scenario
+}
+
+fn fleet(t: Table) -> Fleet {
+    let zones = t.texts("zones", &["a"]);
+    if zones.is_empty() {
+        let at = t.span_of("zones");
+        t.wrong(&at, "`fleet.zones` names none: expected at least one");
+    }
+    let kinds: Vec<Kind> = t.tables("kinds").into_iter().map(kind).collect();
+    if kinds.is_empty() {
+        t.wrong(&t.span, "there is no kind of machine: expected [[fleet.kinds]]; add one");
+    }
+    let fleet = Fleet {
+        zones: if zones.is_empty() { vec![String::new()] } else { zones },
+        nodes: t.whole("nodes", 1..=MOST_NODES, None) as usize,
+        cell_size: t.whole("cell_size", 1..=MOST_NODES, Some(6)) as usize,
+        kinds,
+        same_zone: t.time("same_zone_ms", 0.0..=1000.0, Some(0.0)),
+        cross_zone: t.time("cross_zone_ms", 0.0..=1000.0, Some(7.0)),
+    };
+    t.finish();
+    fleet
+}
+
+fn kind(t: Table) -> Kind {
+    let kind = Kind {
+        name: t.text("name", None),
+        share: t.number("share", 0.0..=1e6, Some(1.0)),
+        cores: t.whole("cores", 1..=256, Some(1)),
+        speed: t.number("speed", 0.01..=100.0, Some(1.0)),
+        speed_cv: t.number("speed_cv", ONE, Some(0.1)),
+        slots: t.whole("slots", 1..=10_000, Some(6)),
+        queue: t.whole("queue", 0..=10_000, Some(1)),
+        crowding_from: t.number("crowding_from", 1.0..=100.0, Some(1.3)),
+        crowding_loss: t.number("crowding_loss", ONE, Some(0.5)),
+        cold_from: t.number("cold_from", 0.01..=1.0, Some(0.25)),
+        cold: t.time("cold_s", 0.0..=3600.0, Some(15.0)),
+        connections: t.whole("connections", 1..=1_000_000, Some(42)),
+        handshake_ms: t.number("handshake_ms", 0.0..=1000.0, Some(4.0)),
+        error_rate: t.number("error_rate", ONE, Some(0.0)),
+    };
+    t.finish();
+    kind
+}
+
+fn bank(t: Table) -> Bank {
+    let bank = Bank {
+        count: t.whole("count", 1..=MOST_BALANCERS, Some(1)) as usize,
+        memory_mb: t.whole("memory_mb", 16..=1_000_000, Some(192)),
+        sockets: t.whole("sockets", 96..=1_000_000, Some(1024)),
+        notice: t.time("notice_s", 0.0..=60.0, Some(2.0)),
+    };
+    t.finish();
+    bank
+}
+
+fn clients(t: Table) -> Clients {
+    let clients = Clients {
+        leave_share: t.number("leave_share", ONE, Some(0.0)),
+        connections: t.whole("connections", 1..=100_000, Some(300)),
+    };
+    t.finish();
+    clients
+}
+
+fn class(t: Table) -> Class {
+    let effects = [("safe", Effect::Safe), ("keyed", Effect::Keyed), ("unsafe", Effect::Unsafe)];
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let effect = t.choice("effect", &effects, None);
+    let keyed = effect == Effect::Keyed;
+    for key in ["group", "window_ms"] {
+        if !keyed && t.has(key) {
+            let at = t.span_of(key);
+            t.wrong(&at, format!("`{key}` means nothing but for a keyed class; remove it"));
+        }
+    }
+    let class = Class {
+        name: t.text("name", None),
+        share: t.number("share", 0.0..=1e6, Some(1.0)),
+        work_ms: t.number("work_ms", 0.01..=1e6, None),
+        work_cv: t.number("work_cv", 0.0..=10.0, Some(0.5)),
+        aim: t.time("aim_ms", 1.0..=1e7, None),
+        deadline: t.time("deadline_ms", 1.0..=1e7, None),
+        worth: t.number("worth", 0.0..=1e6, Some(1.0)),
+        late_worth: t.number("late_worth", ONE, Some(0.0)),
+        effect,
+        group: t.choice("group", &groups, Some(Group::Cell)),
+        window: t.time("window_ms", 1.0..=1e7, Some(10_000.0)),
+    };
+    if class.aim > class.deadline {
+        let at = t.span_of("aim_ms");
+        t.wrong(&at, "`classes.aim_ms` is later than the deadline: no answer could be too late");
+    }
+    t.finish();
+    class
+}
+
+fn load(t: Table) -> Load {
+    let shapes = [
+        ("steady", Shape::Steady),
+        ("wave", Shape::Wave),
+        ("bursty", Shape::Bursty),
+        ("ramp", Shape::Ramp),
+        ("round", Shape::Round),
+    ];
+    let load = Load {
+        of_capacity: t.number("of_capacity", 0.001..=100.0, None),
+        shape: t.choice("shape", &shapes, Some(Shape::Steady)),
+        swing: t.number("swing", ONE, Some(0.3)),
+    };
+    t.finish();
+    load
+}
+
+/// Reads a table that may be missing: all of its fields have defaults.
+fn optional<T>(t: Option<Table>, file: &File, read: impl Fn(&Table) -> T) -> T {
+    match t {
+        Some(t) => {
+            let value = read(&t);
+            t.finish();
+            value
+        }
+        None => read(&Table::top(file, &DeTable::new())),
+    }
+}
+
+fn list(t: Option<Table>, file: &File) -> ListService {
+    optional(t, file, |t| ListService {
+        asked: t.flag("asked", true),
+        notice: t.time("notice_s", 0.0..=3600.0, Some(3.0)),
+        silent_notice: t.time("silent_notice_s", 0.0..=3600.0, Some(8.0)),
+        add: t.time("add_s", 0.0..=3600.0, Some(1.0)),
+        period: t.time("period_ms", 1.0..=60_000.0, Some(500.0)),
+        call: t.time("call_ms", 0.0..=60_000.0, Some(40.0)),
+        call_timeout: t.time("call_timeout_ms", 1.0..=60_000.0, Some(1000.0)),
+        report_period: t.time("report_period_ms", 1.0..=60_000.0, Some(250.0)),
+        report_delay: t.time("report_delay_ms", 0.0..=60_000.0, Some(75.0)),
+        report_noise: t.number("report_noise", ONE, Some(0.1)),
+    })
+}
+
+fn rules(t: Option<Table>, file: &File) -> Rules {
+    optional(t, file, |t| Rules {
+        max_attempts: t.whole("max_attempts", 1..=100, Some(3)) as usize,
+        drain_grace: t.time("drain_grace_ms", 0.0..=60_000.0, Some(500.0)),
+        fall_multiple: t.number("fall_multiple", 1.0..=1000.0, Some(4.0)),
+        tip_after: t.time("tip_after_ms", 1.0..=60_000.0, Some(2000.0)),
+        ask_every: t.time("ask_every_ms", 100.0..=600_000.0, Some(10_000.0)),
+        max_retry_after: t.time("max_retry_after_ms", 0.0..=600_000.0, Some(2000.0)),
+        connect_timeout: t.time("connect_timeout_ms", 1.0..=60_000.0, Some(250.0)),
+        keepalive: t.time("keepalive_ms", 100.0..=600_000.0, Some(5000.0)),
+    })
+}
+
+/// What faults may name.
+struct Known<'a> {
+    fleet: &'a Fleet,
+    bank: &'a Bank,
+    classes: &'a [Class],
+}
+
+/// Which kind of fault, before its own fields are read.
+const KINDS: [(&str, u8); 16] = [
+    ("die", 0),
+    ("vanish", 1),
+    ("unreachable", 2),
+    ("drain", 3),
+    ("replace", 4),
+    ("slow", 5),
+    ("spoil", 6),
+    ("list-down", 7),
+    ("list-late", 8),
+    ("list-stale", 9),
+    ("list-disorder", 10),
+    ("burst", 11),
+    ("heavy", 12),
+    ("balancer-kill", 13),
+    ("balancer-restart", 14),
+    ("list-move", 15),
+];
+
+fn fault(t: Table, known: &Known) -> Fault {
+    let most = known.bank.count.saturating_sub(1) as u32;
+    let balancer = |t: &Table| t.whole("balancer", 0..=most, None) as usize;
+    let kind = match t.choice("kind", &KINDS, None) {
+        0 => FaultKind::Die,
+        1 => FaultKind::Vanish,
+        2 => FaultKind::Unreachable { balancer: balancer(&t) },
+        3 => FaultKind::Drain,
+        4 => FaultKind::Replace { same_address: t.flag("same_address", false) },
+        5 => FaultKind::Slow { factor: t.number("factor", 1.0..=1000.0, None) },
+        6 => FaultKind::Spoil { share: t.number("answers", ONE, None) },
+        7 => FaultKind::ListDown,
+        8 => FaultKind::ListLate { by: t.time("by_s", 0.0..=3600.0, None) },
+        9 => FaultKind::ListStale,
+        10 => FaultKind::ListDisorder,
+        11 => FaultKind::Burst { factor: t.number("factor", 1.0..=100.0, None) },
+        12 => {
+            let name = t.text("class", None);
+            let class = known.classes.iter().position(|c| c.name == name);
+            if class.is_none() && t.has("class") {
+                let at = t.span_of("class");
+                let names: Vec<&str> = known.classes.iter().map(|c| c.name.as_str()).collect();
+                let what =
+                    format!("`faults.class` is \"{name}\": expected one of {}", names.join(", "));
+                t.wrong(&at, what);
+            }
+            FaultKind::Heavy {
+                class: class.unwrap_or_default(),
+                share: t.number("requests", ONE, None),
+                factor: t.number("factor", 1.0..=1000.0, None),
+            }
+        }
+        13 => FaultKind::BalancerKill { balancer: balancer(&t) },
+        14 => FaultKind::BalancerRestart { balancer: balancer(&t) },
+        _ => FaultKind::ListMove,
+    };
+    let selection = if kind.strikes_nodes() { selection(&t, known) } else { Selection::default() };
+    let group = t.has("group").then(|| t.text("group", Some("")));
+    let needs_length = !matches!(kind, FaultKind::BalancerRestart { .. } | FaultKind::ListMove);
+    let fault = Fault {
+        start: t.time("start_s", 0.0..=LONGEST_S, None),
+        length: t.time("length_s", 0.1..=LONGEST_S, (!needs_length).then_some(1.0)),
+        kind,
+        selection,
+        group,
+        line: t.line(),
+    };
+    t.finish();
+    fault
+}
+
+fn selection(t: &Table, known: &Known) -> Selection {
+    let fleet = known.fleet;
+    let cells = (0..fleet.nodes).map(|n| fleet.cell_of(n)).max().unwrap_or(0);
+    let zone = t.has("zone").then(|| {
+        let zones: Vec<(&str, usize)> =
+            fleet.zones.iter().enumerate().map(|(i, z)| (z.as_str(), i)).collect();
+        t.choice("zone", &zones, None)
+    });
+    let selection = Selection {
+        share: t.has("share").then(|| t.number("share", ONE, None)),
+        zone,
+        cell: t.has("cell").then(|| t.whole("cell", 0..=cells, None)),
+        nodes: t.places("nodes", fleet.nodes),
+    };
+    if selection == Selection::default() {
+        let what =
+            "the fault strikes no node: expected `share`, `zone`, `cell` or `nodes`; add one";
+        t.wrong(&t.span, what);
+    }
+    selection
+}
--- /dev/null
+++ b/crates/rehearsal/src/stage.rs
@@ -0,0 +1,239 @@
+//! What all stand-ins of one run share: the plan, the account, the network and its addresses.
+
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowpaddle_net::{Network, Tcp};
+use hollowpaddle_simnet::Fabric;
+use rustc_hash::FxHashMap;
+
+use crate::plan::{Arrival, Plan};
+use crate::record::Record;
+use crate::scenario::{Effect, Scenario};
+
+/// Whoever has an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    /// A balancer, by number.
+    Balancer(usize),
+    /// The clients that come to it.
+    Clients(usize),
+    /// The node list, as this balancer reaches it.
+    List(usize),
+    /// A machine, by place.
+    Node(usize),
+}
+
+/// Places among the addresses of one run.
+const CLIENTS: usize = 250;
+const LISTS: usize = 500;
+const NODES: usize = 1000;
+/// Addresses used of each network of 256.
+const OF_NET: usize = 250;
+
+impl Who {
+    fn place(self) -> usize {
+        match self {
+            Who::Balancer(b) => b,
+            Who::Clients(b) => CLIENTS + b,
+            Who::List(b) => LISTS + b,
+            Who::Node(n) => NODES + n,
+        }
+    }
+
+    fn at(place: usize) -> Self {
+        match place {
+            n if n >= NODES => Who::Node(n - NODES),
+            n if n >= LISTS => Who::List(n - LISTS),
+            n if n >= CLIENTS => Who::Clients(n - CLIENTS),
+            b => Who::Balancer(b),
+        }
+    }
+
+    fn ip(self, net: u8) -> IpAddr {
+        let place = self.place();
+        let (third, fourth) = ((place / OF_NET) as u8, (place % OF_NET + 1) as u8);
+        IpAddr::V4(Ipv4Addr::new(127, net, third, fourth))
+    }
+
+    fn of(ip: IpAddr) -> Self {
+        let IpAddr::V4(ip) = ip else { return Who::Balancer(0) };
+        let [_, _, third, fourth] = ip.octets();
+        Self::at(usize::from(third) * OF_NET + usize::from(fourth).saturating_sub(1))
+    }
+}
+
+/// The ground that a run stands on.
+#[derive(Clone)]
+pub enum Ground {
+    /// This machine's loopback. Every run uses one of its networks, 127.x.0.0/16, drawn at random: two
+    /// runs at a time must not take each other's addresses.
+    Loopback {
+        /// The second part of its addresses.
+        net: u8,
+    },
+    /// A network inside this process.
+    Simulated(Fabric),
+}
+
+/// The network of simulated runs.
+const SIMULATED: u8 = 64;
+
+impl Ground {
+    /// The loopback of this machine.
+    pub fn loopback() -> Self {
+        // Which one is nothing that a run depends on.
+        let draw = Tcp.unix_now().subsec_nanos() ^ std::process::id();
+        Ground::Loopback { net: 64 + (draw % 128) as u8 }
+    }
+
+    /// A simulated network with the scenario's delays between zones.
+    pub fn simulated(scenario: &Scenario, plan: &Plan) -> Self {
+        let zones = scenario.fleet.zones.len();
+        let of_node: Vec<usize> = plan.machines.iter().map(|m| m.zone).collect();
+        let (same, cross) = (scenario.fleet.same_zone, scenario.fleet.cross_zone);
+        let zone = move |ip| match Who::of(ip) {
+            Who::Balancer(b) | Who::Clients(b) | Who::List(b) => b % zones,
+            Who::Node(n) => of_node.get(n).copied().unwrap_or(0),
+        };
+        let delay = move |a, b| if zone(a) == zone(b) { same } else { cross };
+        Ground::Simulated(Fabric::new(EPOCH, delay))
+    }
+
+    /// The network as this one sees it.
+    pub fn network(&self, who: Who) -> Rc<dyn Network> {
+        match self {
+            Ground::Loopback { .. } => Rc::new(Tcp),
+            Ground::Simulated(fabric) => fabric.host(who.ip(SIMULATED)),
+        }
+    }
+
+    /// Its address; the port is left to be chosen.
+    pub fn address(&self, who: Who) -> SocketAddr {
+        let net = match self {
+            Ground::Loopback { net } => *net,
+            Ground::Simulated(_) => SIMULATED,
+        };
+        SocketAddr::new(who.ip(net), 0)
+    }
+
+    /// Whether time and network are simulated.
+    pub fn is_simulated(&self) -> bool {
+        matches!(self, Ground::Simulated(_))
+    }
+}
+
+/// What a simulated run's wall clock says at its start: a morning in August.
+const EPOCH: Duration = Duration::from_secs(1_786_000_000);
+
+/// What all stand-ins share.
+pub struct Stage {
+    /// What is played.
+    pub scenario: Scenario,
+    /// What was drawn.
+    pub plan: Plan,
+    /// The account.
+    pub record: Record,
+    /// Network and addresses.
+    pub ground: Ground,
+    /// Unix time at the start of the account.
+    pub epoch: Duration,
+    requests: FxHashMap<String, u32>,
+    /// Which start of each balancer is running.
+    starts: RefCell<Vec<u32>>,
+    /// Keys that each group of nodes has seen, and until when it drops them.
+    pub keys: RefCell<FxHashMap<(u64, u32), tokio::time::Instant>>,
+    /// Requests whose end is not known yet.
+    pub open: Cell<usize>,
+}
+
+impl Stage {
+    /// For one run.
+    pub fn new(scenario: Scenario, plan: Plan, ground: Ground) -> Rc<Self> {
+        let index = |(i, a): (usize, &Arrival)| (a.id.clone(), i as u32);
+        let requests = plan.arrivals.iter().enumerate().map(index).collect();
+        let starts = RefCell::new(vec![0; scenario.bank.count]);
+        let epoch = ground.network(Who::Clients(0)).unix_now();
+        Rc::new(Self {
+            scenario,
+            plan,
+            record: Record::new(),
+            ground,
+            epoch,
+            requests,
+            starts,
+            keys: RefCell::default(),
+            open: Cell::new(0),
+        })
+    }
+
+    /// The request of this id.
+    pub fn request(&self, id: &str) -> Option<u32> {
+        self.requests.get(id).copied()
+    }
+
+    /// What was drawn for a request.
+    pub fn arrival(&self, request: u32) -> &Arrival {
+        &self.plan.arrivals[request as usize]
+    }
+
+    /// Which start of a balancer is running.
+    pub fn start_of(&self, balancer: usize) -> u32 {
+        self.starts.borrow().get(balancer).copied().unwrap_or(0)
+    }
+
+    /// Counts a start.
+    pub fn next_start(&self, balancer: usize) -> u32 {
+        let mut starts = self.starts.borrow_mut();
+        starts[balancer] += 1;
+        starts[balancer]
+    }
+
+    /// A request as its client writes it. `left`: how long the client waits.
+    pub fn request_text(&self, request: u32, left: Duration) -> String {
+        let (arrival, class) = (self.arrival(request), self.class(request));
+        let (id, body) = (&arrival.id, self.body(request));
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\nX-Class: {}\r\n\
+             Cookie: sid={:016x}\r\nX-Deadline-Ms: {}\r\n",
+            class.effect.method(),
+            self.target(request),
+            class.name,
+            arrival.key,
+            left.as_millis(),
+        );
+        if class.effect == Effect::Keyed {
+            text.push_str(&format!("Idempotency-Key: {}\r\n", self.idempotency_key(request)));
+        }
+        if class.effect != Effect::Safe {
+            text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        text + "\r\n" + &body
+    }
+
+    /// The class of a request.
+    pub fn class(&self, request: u32) -> &crate::scenario::Class {
+        &self.scenario.classes[self.arrival(request).class]
+    }
+
+    /// Its target on the wire.
+    pub fn target(&self, request: u32) -> String {
+        format!("/api?of={}", self.arrival(request).id)
+    }
+
+    /// Its key, for a keyed one.
+    pub fn idempotency_key(&self, request: u32) -> String {
+        let arrival = self.arrival(request);
+        format!("{:016x}{}", arrival.key, arrival.id)
+    }
+
+    /// Its body; none for a safe one.
+    pub fn body(&self, request: u32) -> String {
+        if self.class(request).effect == Effect::Safe {
+            return String::new();
+        }
+        format!("{{\"reading\":\"{}\",\"of\":{request}}}", self.arrival(request).id)
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/sweep.rs
@@ -0,0 +1,205 @@
+//! Many small runs, each with its own random faults on top of one another, to find what nobody thought of.
+
+use std::num::NonZeroUsize;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, mpsc};
+use std::thread;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::bank::Launcher;
+use crate::report::Report;
+use crate::run::{RunError, play_virtual};
+use crate::scenario::{
+    Bank, Class, Clients, Effect, Fault, FaultKind, Fleet, Group, Kind, ListService, Load, Rules,
+    Scenario, Selection, Shape,
+};
+
+/// What one seed came to.
+#[derive(Debug)]
+pub struct Swept {
+    /// The seed, for [`scenario`] and for the plan alike.
+    pub seed: u64,
+    /// What was told of its run, or why there was none.
+    pub report: Result<Report, RunError>,
+}
+
+fn ms(ms: u32) -> Duration {
+    Duration::from_millis(u64::from(ms))
+}
+
+/// The scenario of a seed: a small fleet, three to seven faults of any kind, on top of one another.
+pub fn scenario(seed: u64) -> Scenario {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(99);
+    let zones = vec!["bilbao".to_string(), "oviedo".to_string()];
+    let length = rng.random_range(15..25u32);
+    let count = rng.random_range(1..=3usize);
+    let nodes = rng.random_range(8..=20usize);
+    let kind = |name: &str, share, speed, rng: &mut ChaCha8Rng| Kind {
+        name: name.to_string(),
+        share,
+        cores: rng.random_range(1..=2),
+        speed,
+        speed_cv: 0.15,
+        slots: rng.random_range(4..=8),
+        queue: rng.random_range(0..=2),
+        crowding_from: 1.1 + 0.4 * rng.random::<f64>(),
+        crowding_loss: 0.6,
+        cold_from: 0.15 + 0.2 * rng.random::<f64>(),
+        cold: ms(rng.random_range(4_000..12_000)),
+        connections: rng.random_range(20..60),
+        handshake_ms: 4.0,
+        error_rate: 0.001,
+    };
+    let kinds = vec![kind("fast-1c", 0.7, 1.5, &mut rng), kind("std-1c", 0.3, 1.0, &mut rng)];
+    let class = |name: &str, share, work_ms, worth, effect| Class {
+        name: name.to_string(),
+        share,
+        work_ms,
+        work_cv: 0.5,
+        aim: ms(700),
+        deadline: ms(1750),
+        worth,
+        late_worth: 0.4,
+        effect,
+        group: Group::Cell,
+        window: ms(6_000),
+    };
+    let classes = vec![
+        class("reading-sync", 0.42, 80.0, 2.0, Effect::Safe),
+        class("alarm-raise", 0.34, 80.0, 5.0, Effect::Unsafe),
+        class("delivery-log", 0.24, 50.0, 8.0, Effect::Keyed),
+    ];
+    let shapes = [Shape::Steady, Shape::Wave, Shape::Bursty, Shape::Ramp, Shape::Round];
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(3..=7) {
+        faults.push(fault(&mut rng, length, count, nodes));
+    }
+    Scenario {
+        name: format!("sweep-{seed}"),
+        about: "random faults on top of one another".to_string(),
+        length: Duration::from_secs(u64::from(length)),
+        fleet: Fleet {
+            zones,
+            nodes,
+            cell_size: rng.random_range(2..=4),
+            kinds,
+            same_zone: Duration::ZERO,
+            cross_zone: ms(rng.random_range(0..=8)),
+        },
+        bank: Bank { count, memory_mb: 64, sockets: 512, notice: ms(1500) },
+        clients: Clients { leave_share: 0.01, connections: 160 },
+        classes,
+        load: Load {
+            of_capacity: 0.4 + 0.7 * rng.random::<f64>(),
+            shape: shapes[rng.random_range(0..shapes.len())],
+            swing: 0.4,
+        },
+        list: ListService {
+            asked: rng.random::<f64>() < 0.8,
+            notice: ms(rng.random_range(500..3_000)),
+            silent_notice: ms(rng.random_range(1_500..6_000)),
+            add: ms(rng.random_range(200..1_500)),
+            period: ms(rng.random_range(100..700)),
+            call: ms(40),
+            call_timeout: ms(1_000),
+            report_period: ms(250),
+            report_delay: ms(75),
+            report_noise: 0.1,
+        },
+        rules: Rules {
+            max_attempts: 3,
+            drain_grace: ms(500),
+            fall_multiple: 4.0,
+            tip_after: ms(2_000),
+            ask_every: ms(10_000),
+            max_retry_after: ms(2_000),
+            connect_timeout: ms(250),
+            keepalive: ms(5_000),
+        },
+        faults,
+    }
+}
+
+fn fault(rng: &mut ChaCha8Rng, length: u32, balancers: usize, nodes: usize) -> Fault {
+    let balancer = rng.random_range(0..balancers);
+    let kind = match rng.random_range(0..16) {
+        0 => FaultKind::Die,
+        1 => FaultKind::Vanish,
+        2 => FaultKind::Unreachable { balancer },
+        3 => FaultKind::Drain,
+        4 => FaultKind::Replace { same_address: rng.random() },
+        5 => FaultKind::Slow { factor: 2.0 + 8.0 * rng.random::<f64>() },
+        6 => FaultKind::Spoil { share: 0.3 * rng.random::<f64>() },
+        7 => FaultKind::ListDown,
+        8 => FaultKind::ListLate { by: ms(rng.random_range(500..5_000)) },
+        9 => FaultKind::ListStale,
+        10 => FaultKind::ListDisorder,
+        11 => FaultKind::Burst { factor: 1.3 + rng.random::<f64>() },
+        12 => FaultKind::Heavy {
+            class: rng.random_range(0..3),
+            share: 0.03 * rng.random::<f64>(),
+            factor: 5.0 + 15.0 * rng.random::<f64>(),
+        },
+        13 => FaultKind::BalancerKill { balancer },
+        14 => FaultKind::BalancerRestart { balancer },
+        _ => FaultKind::ListMove,
+    };
+    let selection = match rng.random_range(0..4) {
+        0 => Selection { zone: Some(rng.random_range(0..2)), ..Selection::default() },
+        1 => Selection {
+            nodes: Some(vec![rng.random_range(0..nodes)]),
+            ..Selection::default()
+        },
+        _ => Selection { share: Some(0.5 * rng.random::<f64>()), ..Selection::default() },
+    };
+    Fault {
+        start: ms(rng.random_range(1_000..length * 1000 - 4_000)),
+        length: ms(rng.random_range(500..10_000)),
+        selection: if kind.strikes_nodes() { selection } else { Selection::default() },
+        group: (rng.random::<f64>() < 0.3).then(|| "together".to_string()),
+        kind,
+        line: 0,
+    }
+}
+
+/// Plays the scenarios of these seeds in virtual time, on as many threads as there are processors, and tells
+/// of each as it ends, in no order. `launcher` is asked once a run, on the run's own thread.
+pub fn sweep(
+    seeds: std::ops::Range<u64>,
+    launcher: impl Fn() -> Rc<dyn Launcher> + Send + Sync,
+    mut tell: impl FnMut(Swept),
+) {
+    let threads = thread::available_parallelism().map_or(1, NonZeroUsize::get);
+    let next = AtomicU64::new(seeds.start);
+    let (sender, receiver) = mpsc::channel();
+    let sender = Mutex::new(sender);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            let sender = sender.lock().map(|s| s.clone());
+            let Ok(sender) = sender else { continue };
+            let (next, launcher, end) = (&next, &launcher, seeds.end);
+            scope.spawn(move || {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= end {
+                        return;
+                    }
+                    let played = play_virtual(&scenario(seed), seed, launcher());
+                    let report = played.map(|p| Report::of(&p));
+                    if sender.send(Swept { seed, report }).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+        drop(sender);
+        for swept in receiver {
+            tell(swept);
+        }
+    });
+}
--- /dev/null
+++ b/crates/rehearsal/src/wire.rs
@@ -0,0 +1,354 @@
+//! HTTP/1.1 as stand-ins speak it: whole messages with their times, and every way in which a connection can
+//! end before one is whole. Framing by RFC 9112, section 6.3; heads are `httparse`'s.
+
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use hollowpaddle_net::Stream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{Instant, timeout};
+
+/// No head here is longer, and no body.
+const LONGEST_HEAD: usize = 64 << 10;
+const LONGEST_BODY: usize = 16 << 20;
+const MOST_HEADERS: usize = 100;
+
+/// A whole message.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Method and target, or the status and its reason.
+    pub start: (String, String),
+    /// In their order, names as they came.
+    pub headers: Vec<(String, String)>,
+    /// Without its transfer coding.
+    pub body: Bytes,
+    /// When its first byte was read.
+    pub first: Instant,
+}
+
+impl Message {
+    /// The first header of this name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Of an answer; 0 for a request.
+    pub fn status(&self) -> u16 {
+        self.start.0.parse().unwrap_or(0)
+    }
+
+    /// Whether its sender will close the connection behind it.
+    pub fn closes(&self) -> bool {
+        self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// Which way messages go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// From clients.
+    Requests,
+    /// To clients.
+    Answers,
+}
+
+/// How a connection ended before a message was whole.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Ended {
+    /// In order; `inside` a message or between two.
+    #[error("closed")]
+    Closed {
+        /// A part of a message had come.
+        inside: bool,
+    },
+    /// By a reset.
+    #[error("reset")]
+    Reset {
+        /// A part of a message had come.
+        inside: bool,
+    },
+    /// What came is no message.
+    #[error("not HTTP/1.1: {0}")]
+    Malformed(String),
+}
+
+/// One end of a connection that carries messages.
+pub struct Talk {
+    stream: Box<dyn Stream>,
+    buffer: BytesMut,
+    first: Option<Instant>,
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+impl Talk {
+    /// On a new connection.
+    pub fn new(stream: Box<dyn Stream>) -> Self {
+        Self { stream, buffer: BytesMut::new(), first: None }
+    }
+
+    /// Whether nothing has come that is not read yet, not even its end.
+    pub fn is_quiet(&self) -> bool {
+        self.buffer.is_empty() && self.stream.is_quiet()
+    }
+
+    /// Bytes that came behind the last message.
+    pub fn left_over(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Ends it by a reset.
+    pub fn reset(self) {
+        self.stream.reset();
+    }
+
+    async fn fill(&mut self) -> Result<(), Ended> {
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        let inside = !self.buffer.is_empty();
+        match read {
+            Ok(0) => Err(Ended::Closed { inside }),
+            Ok(_) => {
+                self.first.get_or_insert_with(Instant::now);
+                Ok(())
+            }
+            Err(_) => Err(Ended::Reset { inside }),
+        }
+    }
+
+    /// The next whole message.
+    ///
+    /// # Errors
+    /// How the connection ended, or why what came is none.
+    pub async fn message(&mut self, side: Side) -> Result<Message, Ended> {
+        if !self.buffer.is_empty() {
+            self.first.get_or_insert_with(Instant::now);
+        }
+        loop {
+            if let Some((mut message, head, framing)) = parse(&self.buffer, side)? {
+                self.buffer.advance(head);
+                message.first = self.first.take().unwrap_or(message.first);
+                // Informational answers come ahead of the one that counts (RFC 9110, 15.2).
+                if side == Side::Answers && (100..200).contains(&message.status()) {
+                    if !self.buffer.is_empty() {
+                        self.first = Some(Instant::now());
+                    }
+                    continue;
+                }
+                message.body = self.body(framing).await?;
+                self.first = None;
+                return Ok(message);
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn body(&mut self, framing: Framing) -> Result<Bytes, Ended> {
+        let inside = |ended| match ended {
+            Ended::Closed { .. } => Ended::Closed { inside: true },
+            Ended::Reset { .. } => Ended::Reset { inside: true },
+            other => other,
+        };
+        match framing {
+            Framing::Length(length) => {
+                while self.buffer.len() < length {
+                    self.fill().await.map_err(inside)?;
+                }
+                Ok(self.buffer.split_to(length).freeze())
+            }
+            Framing::UntilClose => loop {
+                match self.fill().await {
+                    Ok(()) if self.buffer.len() <= LONGEST_BODY => {}
+                    Ok(()) => return Err(Ended::Malformed("a body without end".into())),
+                    Err(Ended::Closed { .. }) => return Ok(self.buffer.split().freeze()),
+                    Err(other) => return Err(inside(other)),
+                }
+            },
+            Framing::Chunked => {
+                let mut body = BytesMut::new();
+                loop {
+                    let size = match httparse::parse_chunk_size(&self.buffer) {
+                        Ok(httparse::Status::Complete((used, size))) => {
+                            self.buffer.advance(used);
+                            usize::try_from(size).unwrap_or(usize::MAX)
+                        }
+                        Ok(httparse::Status::Partial) => {
+                            self.fill().await.map_err(inside)?;
+                            continue;
+                        }
+                        Err(_) => return Err(Ended::Malformed("a chunk size".into())),
+                    };
+                    if size > LONGEST_BODY - body.len().min(LONGEST_BODY) {
+                        return Err(Ended::Malformed("a body without end".into()));
+                    }
+                    while self.buffer.len() < size + 2 {
+                        self.fill().await.map_err(inside)?;
+                    }
+                    body.extend_from_slice(&self.buffer[..size]);
+                    self.buffer.advance(size + 2);
+                    if size == 0 {
+                        return Ok(body.freeze());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends with the connection; what still comes before that is kept for the next message.
+    pub async fn end(&mut self) -> Ended {
+        loop {
+            if let Err(ended) = self.fill().await {
+                return ended;
+            }
+            if self.buffer.len() > LONGEST_HEAD + LONGEST_BODY {
+                return Ended::Malformed("more than anyone asked for".into());
+            }
+        }
+    }
+
+    /// Reads what comes, and throws it away, until nothing has come for so long. How much it was.
+    pub async fn drain(&mut self, quiet: Duration) -> usize {
+        let mut bytes = std::mem::take(&mut self.buffer).len();
+        while let Ok(Ok(())) = timeout(quiet, self.fill()).await {
+            bytes += std::mem::take(&mut self.buffer).len();
+        }
+        bytes
+    }
+
+    /// Writes all of it.
+    ///
+    /// # Errors
+    /// The connection is gone.
+    pub async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await?;
+        self.stream.flush().await
+    }
+
+    /// Writes one chunk of a chunked answer.
+    ///
+    /// # Errors
+    /// The connection is gone.
+    pub async fn chunk(&mut self, text: &str) -> std::io::Result<()> {
+        self.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
+    }
+}
+
+/// Reads a head, if it is whole: how many bytes it took, and how its body is framed.
+fn parse(buffer: &[u8], side: Side) -> Result<Option<(Message, usize, Framing)>, Ended> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let bad = |e: httparse::Error| Ended::Malformed(e.to_string());
+    let (start, length) = match side {
+        Side::Requests => {
+            let mut head = httparse::Request::new(&mut headers);
+            let status = head.parse(buffer).map_err(bad)?;
+            let text = |t: Option<&str>| t.unwrap_or_default().to_string();
+            ((text(head.method), text(head.path)), status)
+        }
+        Side::Answers => {
+            let mut head = httparse::Response::new(&mut headers);
+            let status = head.parse(buffer).map_err(bad)?;
+            let code = head.code.unwrap_or_default().to_string();
+            ((code, head.reason.unwrap_or_default().to_string()), status)
+        }
+    };
+    let httparse::Status::Complete(length) = length else {
+        if buffer.len() > LONGEST_HEAD {
+            return Err(Ended::Malformed("a head without end".into()));
+        }
+        return Ok(None);
+    };
+    let headers: Vec<(String, String)> = headers
+        .iter()
+        .take_while(|h| !h.name.is_empty())
+        .map(|h| (h.name.to_string(), String::from_utf8_lossy(h.value).into_owned()))
+        .collect();
+    let message = Message { start, headers, body: Bytes::new(), first: Instant::now() };
+    let chunked = message
+        .header("transfer-encoding")
+        .is_some_and(|v| v.to_ascii_lowercase().trim_end().ends_with("chunked"));
+    let announced = message.header("content-length");
+    let none = side == Side::Requests || matches!(message.status(), 204 | 304);
+    let framing = match announced {
+        _ if chunked => Framing::Chunked,
+        Some(text) => match text.trim().parse() {
+            Ok(n) if n <= LONGEST_BODY => Framing::Length(n),
+            _ => return Err(Ended::Malformed(format!("a length of {text}"))),
+        },
+        None if none => Framing::Length(0),
+        None => Framing::UntilClose,
+    };
+    Ok(Some((message, length, framing)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hollowpaddle_net::{Network, accept};
+    use hollowpaddle_simnet::Fabric;
+    use std::net::{IpAddr, SocketAddr};
+    use std::rc::Rc;
+
+    async fn pair() -> (Talk, Talk) {
+        let fabric = Fabric::new(Duration::ZERO, |_, _| Duration::ZERO);
+        let host: Rc<dyn Network> = fabric.host(IpAddr::from([10, 0, 0, 1]));
+        let mut listener = host.listen(SocketAddr::from(([10, 0, 0, 1], 80))).expect("free");
+        let here = host.connect(listener.local_addr()).await.expect("it listens");
+        let (there, _) = accept(&mut *listener).await.expect("waiting");
+        (Talk::new(here), Talk::new(there))
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_message_in_single_bytes_has_the_time_of_its_first() {
+        let (mut here, mut there) = pair().await;
+        let text = "POST /api HTTP/1.1\r\nX-Request-Id: 7\r\nContent-Length: 3\r\n\r\nabc";
+        let from = Instant::now();
+        let read = tokio::join!(there.message(Side::Requests), async {
+            for byte in text.as_bytes() {
+                here.write(&[*byte]).await.expect("open");
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        });
+        let message = read.0.expect("whole");
+        assert_eq!(message.start, ("POST".to_string(), "/api".to_string()));
+        assert_eq!((message.header("x-request-id"), &message.body[..]), (Some("7"), &b"abc"[..]));
+        assert_eq!(message.first, from);
+        assert!(there.is_quiet());
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn answers_come_framed_in_each_way_and_informational_ones_are_passed_over() {
+        let (mut here, mut there) = pair().await;
+        let early = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        let chunked =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+        let long = "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nnoXX";
+        here.write(format!("{early}{chunked}{long}").as_bytes()).await.expect("open");
+        let first = there.message(Side::Answers).await.expect("whole");
+        assert_eq!((first.status(), &first.body[..]), (200, &b"abc"[..]));
+        let second = there.message(Side::Answers).await.expect("whole");
+        assert_eq!((second.status(), &second.body[..], there.left_over()), (503, &b"no"[..], 2));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_end_says_whether_it_came_inside_a_message() {
+        for (text, inside) in [("", false), ("HTTP/1.1 2", true)] {
+            let (mut here, mut there) = pair().await;
+            here.write(text.as_bytes()).await.expect("open");
+            drop(here);
+            let ended = there.message(Side::Answers).await.expect_err("nothing whole");
+            assert_eq!(ended, Ended::Closed { inside });
+        }
+        let (mut here, mut there) = pair().await;
+        here.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf").await.expect("open");
+        here.reset();
+        let ended = there.message(Side::Answers).await.expect_err("cut short");
+        assert_eq!(ended, Ended::Reset { inside: true });
+        let (mut here, mut there) = pair().await;
+        here.write(b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n").await.expect("open");
+        assert!(matches!(there.message(Side::Answers).await, Err(Ended::Malformed(_))));
+    }
+}
