Let an older list take back nothing that a newer one said

Cause: the engine took every list at its word and its revision as the present one. Change: every upstream remembers the revision of its last word; an older list neither opens nor removes anybody; a whole list as a watch's first word, or another discovery, counts anew.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -175,6 +175,8 @@
     revision: u64,
     watch: Option<AbortOnDrop>,
     watch_serial: u64,
+    /// The watch has told nothing yet.
+    watch_new: bool,
     must_ask: bool,
     second_copies: bool,
     max_attempts: usize,
@@ -234,6 +236,7 @@
             revision: 0,
             watch: None,
             watch_serial: 0,
+            watch_new: false,
             must_ask,
             second_copies,
             max_attempts,
@@ -387,6 +390,11 @@
     fn heard(&mut self, news: News) {
         match news {
             News::List(list) => {
+                // Asked for what follows our version, a discovery that counts in another way, as one does
+                // that began anew, says all that it has. Its versions are the ones that count from here.
+                if std::mem::take(&mut self.watch_new) && list.complete {
+                    self.upstreams.count_anew();
+                }
                 let whole = list.complete;
                 self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
             }
@@ -402,8 +410,8 @@
     }
 
     fn listed(&mut self, list: &List, kind: ListKind) {
-        self.revision = list.revision;
-        let members = self.upstreams.update(list, kind, &self.pool);
+        let (kind, members) = self.upstreams.update(list, kind, &self.pool);
+        self.revision = self.upstreams.newest;
         self.ready.set(self.upstreams.any_open());
         self.tell(Event::Members { kind, list: &members });
         self.upstreams.forget(&self.pool);
@@ -420,11 +428,13 @@
         // Another agent counts in its own way: asked for what follows our revision, it could keep silent
         // about all that it has. From 0 on it tells everything.
         self.revision = 0;
+        self.upstreams.count_anew();
         self.subscribe();
     }
 
     fn subscribe(&mut self) {
         self.watch_serial += 1;
+        self.watch_new = true;
         let (serial, notes) = (self.watch_serial, self.own_notes.clone());
         let tell = move |news| drop(notes.send(Note::Watched { serial, news }));
         let network = self.network.clone();
@@ -514,6 +524,8 @@
     targets: FxHashMap<ServerId, Known>,
     /// A handle is never used twice, or news of one that is gone would be taken for another's.
     next: u32,
+    /// The highest version that a list came with.
+    newest: u64,
     zones: Vec<String>,
     kinds: Vec<String>,
     grace: Duration,
@@ -522,6 +534,8 @@
 struct Known {
     target: Rc<Target>,
     gone: bool,
+    /// Version of the list that the last word of it came with.
+    revision: u64,
 }
 
 impl Upstreams {
@@ -530,6 +544,7 @@
             ids: FxHashMap::default(),
             targets: FxHashMap::default(),
             next: 0,
+            newest: 0,
             zones: config.facts.zones.clone(),
             kinds: config.facts.machine_types.clone(),
             grace,
@@ -544,8 +559,26 @@
         self.targets.values().any(|k| k.target.closed_from.get().is_none())
     }
 
-    /// Takes in a list and puts it into the module's words.
-    fn update(&mut self, list: &List, kind: ListKind, pool: &Pool) -> Vec<d::Member> {
+    /// From here on versions are another discovery's.
+    fn count_anew(&mut self) {
+        self.newest = 0;
+        self.targets.values_mut().for_each(|k| k.revision = 0);
+    }
+
+    /// Takes in a list and puts it into the module's words: what it is to the module, and who is on it.
+    ///
+    /// Failure: lists that came out of their order, a whole one as another replica still had it among them,
+    /// undid the news of a drain, and requests went there for seconds (rehearsal sweep, seeds 77 and 136). An
+    /// older list takes back nothing that a newer one said: of an upstream, only news that is no older than
+    /// the last of it counts; none comes in and none is gone by it.
+    fn update(&mut self, list: &List, kind: ListKind, pool: &Pool) -> (ListKind, Vec<d::Member>) {
+        let older = list.revision < self.newest;
+        self.newest = self.newest.max(list.revision);
+        let kind = if older { ListKind::Update } else { kind };
+        if older {
+            let (newest, revision) = (self.newest, list.revision);
+            tracing::warn!(newest, revision, "a list out of its order");
+        }
         let closed_from = Instant::now() + self.grace;
         let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
         if kind != ListKind::Update {
@@ -556,7 +589,12 @@
         }
         let mut members = Vec::with_capacity(list.members.len());
         for entry in &list.members {
-            if entry.phase == Phase::Deleted && !self.ids.contains_key(&entry.id) {
+            let last = self.ids.get(&entry.id).and_then(|id| self.targets.get(id));
+            let last = last.map(|k| k.revision);
+            if last.is_none() && (older || entry.phase == Phase::Deleted) {
+                continue;
+            }
+            if last.is_some_and(|last| list.revision < last) {
                 continue;
             }
             // Without a valid address the last one stands: that it drains must not be lost with it.
@@ -572,6 +610,7 @@
                 pool.close_idle(id);
             }
             known.gone = entry.phase == Phase::Deleted;
+            known.revision = list.revision;
             match entry.phase {
                 Phase::Serving => known.target.closed_from.set(None),
                 Phase::Draining | Phase::Deleted | Phase::Unknown => close(&known.target),
@@ -579,7 +618,7 @@
             members.push(self.member(id, entry));
         }
         self.targets.values().filter(|k| k.gone).for_each(|k| close(&k.target));
-        members
+        (kind, members)
     }
 
     /// Drops what is gone and has no attempt left that looks at it.
@@ -603,7 +642,7 @@
         self.ids.insert(entry.id.clone(), id);
         let (address, closed_from) = (Cell::new(address), Cell::new(None));
         let target = Rc::new(Target { address, closed_from });
-        self.targets.insert(id, Known { target, gone: false });
+        self.targets.insert(id, Known { target, gone: false, revision: 0 });
         id
     }
 
@@ -666,7 +705,7 @@
         let mut told = |id: String, phase: &str, kind| {
             let list = json!({"members": [{"id": id, "host_port": "127.0.0.1:1", "phase": phase}]});
             let list = serde_json::from_value(list).expect("a list");
-            let members = upstreams.update(&list, kind, &pool);
+            let (_, members) = upstreams.update(&list, kind, &pool);
             upstreams.forget(&pool);
             (members.first().map(|m| m.id), upstreams.ids.len(), upstreams.targets.len())
         };
@@ -684,6 +723,50 @@
         assert_eq!(told("never-seen".to_string(), "DELETED", ListKind::Update).0, None);
     }
 
+    #[tokio::test]
+    async fn an_older_list_takes_back_nothing_that_a_newer_one_said() {
+        let config = config();
+        let local = tokio::task::LocalSet::new();
+        let pool = local.run_until(async { Pool::new(1, &config, network()) }).await;
+        let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
+        let mut told = |revision: u64, kind, members: &[(&str, &str)]| {
+            let entry = |(id, phase): &(&str, &str)| json!({"id": id, "host_port": "127.0.0.1:1", "phase": phase});
+            let members: Vec<_> = members.iter().map(entry).collect();
+            let list = json!({"revision": revision, "members": members});
+            let list = serde_json::from_value(list).expect("a list");
+            let (kind, members) = upstreams.update(&list, kind, &pool);
+            upstreams.forget(&pool);
+            let mut open: Vec<String> = upstreams
+                .ids
+                .iter()
+                .filter(|(_, id)| upstreams.targets[id].target.closed_from.get().is_none())
+                .map(|(name, _)| name.clone())
+                .collect();
+            open.sort();
+            (kind, members.len(), open.join(" "))
+        };
+        let all = &[("a", "SERVING"), ("b", "SERVING"), ("c", "SERVING")][..];
+        assert_eq!(told(41, ListKind::Whole, all), (ListKind::Whole, 3, "a b c".into()));
+        let drains = &[("a", "DRAINING"), ("b", "DELETED")][..];
+        assert_eq!(told(43, ListKind::Update, drains), (ListKind::Update, 2, "c".into()));
+        // As another replica still has it: neither back, nor c gone by being left out.
+        let old = &[("a", "SERVING"), ("b", "SERVING"), ("d", "SERVING")][..];
+        assert_eq!(told(42, ListKind::Whole, old), (ListKind::Update, 0, "c".into()));
+        // Late, but news of c: the last word of it is older still.
+        let late = &[("c", "DRAINING"), ("a", "SERVING")][..];
+        assert_eq!(told(42, ListKind::Update, late), (ListKind::Update, 1, String::new()));
+        assert_eq!(told(43, ListKind::Update, drains).1, 1, "said twice");
+        let back = &[("a", "SERVING")][..];
+        assert_eq!(told(44, ListKind::Update, back), (ListKind::Update, 1, "a".into()));
+        upstreams.count_anew();
+        let mut told = |revision: u64| {
+            let list = json!({"revision": revision, "members": [{"id": "a", "host_port": "127.0.0.1:1", "phase": "DRAINING"}]});
+            let list = serde_json::from_value(list).expect("a list");
+            upstreams.update(&list, ListKind::Whole, &pool)
+        };
+        assert_eq!(told(7).0, ListKind::Whole, "another discovery's versions");
+    }
+
     #[tokio::test]
     async fn what_an_attempt_still_looks_at_is_kept_and_stays_closed() {
         let config = config();
@@ -694,7 +777,7 @@
         let list =
             json!({"members": [{"id": "a", "host_port": "127.0.0.1:1", "phase": "SERVING"}]});
         let list = serde_json::from_value(list).expect("a list");
-        let id = upstreams.update(&list, ListKind::Whole, &pool)[0].id;
+        let id = upstreams.update(&list, ListKind::Whole, &pool).1[0].id;
         let out = upstreams.target(id).expect("known");
         upstreams.update(&List::default(), ListKind::Whole, &pool);
         upstreams.forget(&pool);
--- a/crates/rehearsal/src/list.rs
+++ b/crates/rehearsal/src/list.rs
@@ -2,6 +2,7 @@
 //! each balancer, so that what each was told, and when, is known.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -23,6 +24,9 @@
 /// A list that has moved closes its old address's connections after this.
 const MOVE_GRACE: Duration = Duration::from_millis(1500);
 
+/// Messages of a watch that may come again when the list is in disorder.
+const REMEMBERED: usize = 4;
+
 /// What the list knows of one node.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Entry {
@@ -317,7 +321,9 @@
     async fn watch(&self, balancer: usize, from: u64, talk: &mut Talk) -> std::io::Result<()> {
         let mut revision = self.revision.subscribe();
         let mut at = from;
-        let mut previous: Option<(String, Vec<Told>)> = None;
+        // What may come again: messages of this watch, and the whole list as another replica still has it.
+        let mut before: VecDeque<(String, Vec<Told>)> = VecDeque::new();
+        before.push_back(self.line(balancer, 0));
         talk.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         loop {
             let newest = *revision.borrow_and_update();
@@ -328,12 +334,15 @@
             if self.troubles.borrow().disorder > 0 {
                 talk.chunk(&format!("{text}\n")).await?;
                 self.told(balancer, told.clone());
-                if let Some((older, what)) = previous.take() {
+                if let Some((older, what)) = before.pop_front() {
                     talk.chunk(&format!("{older}\n")).await?;
                     self.told(balancer, what);
                 }
             }
-            previous = Some((text, told));
+            before.push_back((text, told));
+            if before.len() > REMEMBERED {
+                before.pop_front();
+            }
             loop {
                 tokio::select! {
                     biased;
--- a/crates/rehearsal/src/process.rs
+++ b/crates/rehearsal/src/process.rs
@@ -116,7 +116,8 @@
         // The name may hold anything, parentheses too; what follows it does not.
         let stat = fs::read_to_string(folder.join("stat")).ok()?;
         let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let ticks: u64 =
+            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
         Some(Resources { memory_kib, descriptors, cpu_ms: ticks * 1000 / TICKS })
     }
 }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -118,8 +118,18 @@
         writeln!(
             out,
             "\n{:<16}{:>8}{:>8}{:>7}{:>8}{:>7}{:>6}{:>7}{:>9}{:>8}{:>8}{:>8}",
-            "class", "asked", "in time", "late", "refused", "failed", "none", "left", "service",
-            "p50 ms", "p99", "most"
+            "class",
+            "asked",
+            "in time",
+            "late",
+            "refused",
+            "failed",
+            "none",
+            "left",
+            "service",
+            "p50 ms",
+            "p99",
+            "most"
         )?;
         for c in &s.classes {
             let n = &c.counts;
@@ -188,8 +198,6 @@
 
 fn sparkline(points: &[Option<f64>]) -> String {
     const BARS: [char; 8] = ['▁', '▂', '▃', '▄', '▅', '▆', '▇', '█'];
-    let bar = |p: &Option<f64>| {
-        p.map_or(' ', |x| BARS[((x * 8.0) as usize).min(BARS.len() - 1)])
-    };
+    let bar = |p: &Option<f64>| p.map_or(' ', |x| BARS[((x * 8.0) as usize).min(BARS.len() - 1)]);
     points.iter().map(bar).collect()
 }
--- a/crates/rehearsal/src/sweep.rs
+++ b/crates/rehearsal/src/sweep.rs
@@ -151,10 +151,7 @@
     };
     let selection = match rng.random_range(0..4) {
         0 => Selection { zone: Some(rng.random_range(0..2)), ..Selection::default() },
-        1 => Selection {
-            nodes: Some(vec![rng.random_range(0..nodes)]),
-            ..Selection::default()
-        },
+        1 => Selection { nodes: Some(vec![rng.random_range(0..nodes)]), ..Selection::default() },
         _ => Selection { share: Some(0.5 * rng.random::<f64>()), ..Selection::default() },
     };
     Fault {
