--- /dev/null
+++ b/crates/ctl/tests/rehearse.rs
@@ -0,0 +1,205 @@
+//! `hollowpaddlectl rehearse` as a program: what it prints, what it leaves, and how it exits.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+const CTL: &str = env!("CARGO_BIN_EXE_hollowpaddlectl");
+
+/// A few seconds on which something of every kind happens.
+const SHORT: &str = r#"
+name = "short"
+length_s = 5
+
+[fleet]
+zones = ["bilbao", "oviedo"]
+nodes = 8
+cell_size = 2
+cross_zone_ms = 2
+
+[[fleet.kinds]]
+name = "std"
+speed = 1.5
+cold_s = 5
+
+[balancers]
+count = 2
+notice_s = 0.5
+
+[[classes]]
+name = "reading-sync"
+work_ms = 30
+aim_ms = 600
+deadline_ms = 1500
+effect = "safe"
+
+[[classes]]
+name = "alarm-raise"
+work_ms = 30
+aim_ms = 600
+deadline_ms = 1500
+effect = "unsafe"
+
+[[classes]]
+name = "delivery-log"
+work_ms = 30
+aim_ms = 600
+deadline_ms = 1500
+effect = "keyed"
+
+[load]
+of_capacity = 0.3
+
+[list]
+notice_s = 0.5
+silent_notice_s = 1
+add_s = 0.2
+period_ms = 100
+
+[[faults]]
+kind = "die"
+start_s = 1
+length_s = 1.5
+nodes = [3]
+
+[[faults]]
+kind = "vanish"
+start_s = 1.5
+length_s = 1.5
+nodes = [4]
+
+[[faults]]
+kind = "unreachable"
+balancer = 1
+start_s = 1
+length_s = 2
+nodes = [5]
+
+[[faults]]
+kind = "drain"
+start_s = 2
+length_s = 1.5
+nodes = [6]
+
+[[faults]]
+kind = "list-move"
+start_s = 2.2
+
+[[faults]]
+kind = "balancer-restart"
+balancer = 0
+start_s = 3
+"#;
+
+struct Folder(tempfile::TempDir);
+
+impl Folder {
+    fn new() -> Self {
+        Self(tempfile::tempdir().expect("a folder"))
+    }
+    fn path(&self, name: &str) -> PathBuf {
+        self.0.path().join(name)
+    }
+    fn write(&self, name: &str, text: &str) -> String {
+        std::fs::write(self.path(name), text).expect("written");
+        self.path(name).display().to_string()
+    }
+}
+
+fn rehearse(arguments: &[&str]) -> Output {
+    Command::new(CTL).arg("rehearse").args(arguments).output().expect("it starts")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn the_same_seed_gives_the_same_trace_in_another_process() {
+    let folder = Folder::new();
+    let run = |name: &str, seed: &str| {
+        let file = folder.path(name).display().to_string();
+        let done = rehearse(&["overlap", "--virtual", "--seed", seed, "--trace", &file]);
+        assert!(done.status.success(), "{}{}", text(&done.stdout), text(&done.stderr));
+        std::fs::read(file).expect("a trace")
+    };
+    let (one, two, other) = (run("one", "3"), run("two", "3"), run("other", "4"));
+    assert!(one.len() > 1 << 20, "{}", one.len());
+    assert!(one == two, "the traces differ");
+    assert!(one != other);
+}
+
+#[test]
+fn a_live_run_of_the_daemon_breaks_no_rule_and_shares_its_plan_with_a_virtual_one() {
+    let folder = Folder::new();
+    let (day, report) = (folder.write("short.toml", SHORT), folder.path("report.json"));
+    let (report, logs) = (report.display().to_string(), folder.path("logs").display().to_string());
+    let done = rehearse(&[&day, "--seed", "2", "--json", &report, "--logs", &logs]);
+    let printed = text(&done.stdout);
+    assert!(done.status.success(), "{printed}{}", text(&done.stderr));
+    assert!(printed.contains("no rule broken") && printed.contains("█"), "{printed}");
+    let read = |path: &str| -> Value {
+        serde_json::from_slice(&std::fs::read(path).expect("a report")).expect("JSON")
+    };
+    let live = read(&report);
+    assert_eq!((&live["version"], &live["mode"]), (&1.into(), &"live".into()));
+    assert!(live["resources"][1]["memory_kib"].as_u64().expect("measured") > 1000);
+    assert!(live["service"]["whole"].as_f64().expect("a ratio") > 0.5, "{printed}");
+    // Both starts of the balancer that was restarted have logs.
+    for log in ["n0-1.log", "n0-2.log", "n1-1.log"] {
+        let log = std::fs::read_to_string(folder.path("logs").join(log)).expect("a log");
+        assert!(log.contains("listening on"), "{log}");
+    }
+    let done = rehearse(&[&day, "--seed", "2", "--virtual", "--json", &report]);
+    assert!(done.status.success(), "{}", text(&done.stdout));
+    let simulated = read(&report);
+    assert_eq!(simulated["mode"], "virtual");
+    assert_eq!(live["plan_digest"], simulated["plan_digest"]);
+    assert_eq!(live["service"]["counts"]["asked"], simulated["service"]["counts"]["asked"]);
+}
+
+#[test]
+fn a_balancer_that_dies_by_itself_is_a_broken_rule_and_exit_1() {
+    let folder = Folder::new();
+    let day = folder.write("short.toml", SHORT);
+    let command = format!("timeout -s KILL 3 '{CTL}' daemon");
+    let done = rehearse(&[&day, "--balancer", &command]);
+    let printed = text(&done.stdout);
+    assert_eq!(done.status.code(), Some(1), "{printed}{}", text(&done.stderr));
+    assert!(printed.contains("RULES BROKEN") && printed.contains("crashed"), "{printed}");
+}
+
+#[test]
+fn bad_input_is_told_whole_and_exit_2() {
+    let folder = Folder::new();
+    let wrong = SHORT.replace("length_s = 5", "length_s = 0").replace("\"safe\"", "\"sound\"");
+    let day = folder.write("wrong.toml", &wrong);
+    for arguments in [&[day.as_str(), "--virtual"][..], &["no-such-day"], &["--no-such-flag"]] {
+        let done = rehearse(arguments);
+        assert_eq!(done.status.code(), Some(2), "{arguments:?}");
+        assert!(done.stdout.is_empty());
+    }
+    let told = text(&rehearse(&[&day]).stderr);
+    assert!(told.contains("wrong.toml:3:12: `length_s` is 0"), "{told}");
+    assert!(told.contains("`classes.effect` is \"sound\": expected one of safe"), "{told}");
+    let told = text(&rehearse(&["no-such-day"]).stderr);
+    assert!(told.contains("expected a scenario file or one of calm, heatwave"), "{told}");
+}
+
+/// Seeds on which a sweep has found a broken rule; what it was is in docs/rehearsal.md.
+#[test]
+fn seeds_that_once_broke_a_rule_break_none() {
+    for seed in ["77", "136"] {
+        let done = rehearse(&["--swept", "--seed", seed]);
+        assert!(done.status.success(), "{}", text(&done.stdout));
+    }
+}
+
+#[test]
+fn a_short_sweep_plays_every_seed_and_says_so() {
+    let done = rehearse(&["--sweep", "6", "--seed", "1000"]);
+    let printed = text(&done.stdout);
+    assert!(done.status.success(), "{printed}");
+    assert!(printed.contains("6 seeds, 0 break a rule"), "{printed}");
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -24,7 +24,6 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashSet;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::bodies::Allowance;
@@ -33,6 +32,7 @@
 use crate::engine::{Arrival, Handle, Reply};
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::stream::{Shared, Tapped};
+use crate::tasks::Word;
 use crate::upstreams::Forward;
 
 /// The largest body that a client may send.
@@ -114,7 +114,7 @@
         mut listener: Box<dyn Listener>,
         stop: impl Future<Output = ()>,
     ) {
-        let (close, closing) = watch::channel(false);
+        let closing = Rc::<Word>::default();
         {
             let accepting = self.accept(&mut *listener, &closing);
             tokio::pin!(accepting);
@@ -129,7 +129,7 @@
             let _ = timeout(LINGER, accepting).await;
         }
         drop(listener);
-        let _ = close.send(true);
+        closing.give();
         let finished = async {
             while self.connections.len() > 0 {
                 sleep(Duration::from_millis(5)).await;
@@ -139,7 +139,7 @@
         let _ = timeout(self.longest + FINISH, finished).await;
     }
 
-    async fn accept(self: &Rc<Self>, listener: &mut dyn Listener, closing: &watch::Receiver<bool>) {
+    async fn accept(self: &Rc<Self>, listener: &mut dyn Listener, closing: &Rc<Word>) {
         loop {
             // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
             if self.connections.full() {
@@ -165,13 +165,7 @@
     }
 
     /// All requests of one connection.
-    async fn converse(
-        self: Rc<Self>,
-        io: Tapped,
-        stream: Shared,
-        seat: Seat,
-        mut closing: watch::Receiver<bool>,
-    ) {
+    async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat, closing: Rc<Word>) {
         let known = &*seat.connection;
         let service = service_fn(|request| self.respond(request, &seat));
         let ended = {
@@ -188,7 +182,7 @@
                     biased;
                     _ = &mut connection => break true,
                     () = known.outstays() => break false,
-                    _ = closing.wait_for(|c| *c), if !stopping => {
+                    () = closing.given(), if !stopping => {
                         connection.as_mut().graceful_shutdown();
                         stopping = true;
                     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod scenario;
 pub mod stage;
 pub mod sweep;
+pub mod watched;
 pub mod wire;
--- a/crates/rehearsal/src/list.rs
+++ b/crates/rehearsal/src/list.rs
@@ -9,7 +9,6 @@
 
 use hollowpaddle_net::Listener;
 use serde_json::json;
-use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -17,6 +16,7 @@
 use crate::record::{At, Phase, Seen};
 use crate::scenario::Scenario;
 use crate::stage::{Stage, Who};
+use crate::watched::Watched;
 use crate::wire::{Side, Talk};
 
 /// While nothing changes, a watch says an empty line this often.
@@ -61,9 +61,10 @@
     log: RefCell<Vec<(u64, usize)>>,
     news: RefCell<Vec<News>>,
     serial: Cell<u64>,
-    revision: watch::Sender<u64>,
-    /// Counts what ends all watches.
-    broken: watch::Sender<u64>,
+    revision: Watched<u64>,
+    /// Connections are counted by generations, and those up to this one must end.
+    broken: Watched<u64>,
+    generation: Cell<u64>,
     troubles: RefCell<Troubles>,
     /// When the service is free for its next call.
     free: Cell<Instant>,
@@ -99,8 +100,9 @@
             log: RefCell::new((0..nodes.len()).map(|n| (1, n)).collect()),
             news: RefCell::default(),
             serial: Cell::new(0),
-            revision: watch::Sender::new(1),
-            broken: watch::Sender::new(0),
+            revision: Watched::new(1),
+            broken: Watched::new(0),
+            generation: Cell::new(1),
             troubles: RefCell::default(),
             free: Cell::new(Instant::now()),
             doors: RefCell::default(),
@@ -147,11 +149,10 @@
         for balancer in 0..self.stage.scenario.bank.count {
             self.open_door(balancer)?;
         }
-        let (list, ends) = (self.clone(), *self.broken.borrow() + 1);
+        let (list, old) = (self.clone(), self.generation.replace(self.generation.get() + 1));
         spawn_local(async move {
             sleep(MOVE_GRACE).await;
-            // Watches on the new addresses began after this word was given.
-            list.broken.send_replace(ends);
+            list.broken.change(|b| *b = old.max(*b));
         });
         Ok(())
     }
@@ -179,7 +180,7 @@
             !is
         });
         due.sort_by_key(|n| n.serial);
-        let revision = *self.revision.borrow() + 1;
+        let revision = *self.revision.get() + 1;
         let mut changed = false;
         for news in due {
             let mut entries = self.entries.borrow_mut();
@@ -196,7 +197,7 @@
             self.stage.record.saw(Seen::Listed { node: news.node, phase, since });
         }
         if changed {
-            self.revision.send_replace(revision);
+            self.revision.change(|r| *r = revision);
         }
     }
 
@@ -204,7 +205,8 @@
     pub fn down(&self, begins: bool) {
         count(&mut self.troubles.borrow_mut().down, begins);
         if begins {
-            self.broken.send_modify(|n| *n += 1);
+            let old = self.generation.replace(self.generation.get() + 1);
+            self.broken.change(|b| *b = old.max(*b));
         }
     }
 
@@ -226,7 +228,7 @@
     }
 
     async fn accept(self: Rc<Self>, balancer: usize, mut listener: Box<dyn Listener>) {
-        let mut broken = self.broken.subscribe();
+        let mut broken = self.broken.watch();
         loop {
             listener.hush(self.is_down());
             let next = std::future::poll_fn(|cx| listener.poll_accept(cx));
@@ -240,7 +242,7 @@
                 },
                 // While it is down, look now and then whether it still is.
                 () = sleep(Duration::from_millis(100)), if self.is_down() => {}
-                _ = broken.changed() => {}
+                () = broken.changed() => {}
             }
         }
     }
@@ -250,11 +252,15 @@
     }
 
     async fn converse(self: Rc<Self>, balancer: usize, mut talk: Talk) {
-        let mut broken = self.broken.subscribe();
+        let (mut broken, generation) = (self.broken.watch(), self.generation.get());
         let watch = Cell::new(None);
         let cut = tokio::select! {
             biased;
-            _ = broken.changed() => true,
+            () = async {
+                while *broken.see() < generation {
+                    broken.changed().await;
+                }
+            } => true,
             () = self.calls(balancer, &mut talk, &watch) => false,
         };
         if cut || watch.get().is_some() {
@@ -319,14 +325,14 @@
     }
 
     async fn watch(&self, balancer: usize, from: u64, talk: &mut Talk) -> std::io::Result<()> {
-        let mut revision = self.revision.subscribe();
+        let mut revision = self.revision.watch();
         let mut at = from;
         // What may come again: messages of this watch, and the whole list as another replica still has it.
         let mut before: VecDeque<(String, Vec<Told>)> = VecDeque::new();
         before.push_back(self.line(balancer, 0));
         talk.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         loop {
-            let newest = *revision.borrow_and_update();
+            let newest = *revision.see();
             let (text, told) = self.line(balancer, if at > newest { 0 } else { at });
             at = newest;
             talk.chunk(&format!("{text}\n")).await?;
@@ -346,12 +352,7 @@
             loop {
                 tokio::select! {
                     biased;
-                    changed = revision.changed() => {
-                        if changed.is_err() {
-                            return Ok(());
-                        }
-                        break;
-                    }
+                    () = revision.changed() => break,
                     _ = talk.end() => return Ok(()),
                     () = sleep(BEAT), if self.stage.scenario.list.asked => {}
                 }
@@ -365,7 +366,7 @@
 
     /// What changed after a revision, or the whole list, as a line; and what it tells.
     fn line(&self, balancer: usize, after: u64) -> (String, Vec<Told>) {
-        let revision = *self.revision.borrow();
+        let revision = *self.revision.get();
         let complete = after == 0;
         let (log, entries) = (self.log.borrow(), self.entries.borrow());
         let mut told = Vec::new();
--- a/crates/rehearsal/src/node/mod.rs
+++ b/crates/rehearsal/src/node/mod.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -21,6 +21,7 @@
 use crate::record::{At, Fate, Seen};
 use crate::scenario::{Effect, Group, Kind};
 use crate::stage::{Stage, Who};
+use crate::watched::{Watched, Watcher};
 use crate::wire::{Ended, Message, Side, Talk};
 use model::{Fall, Model, Verdict};
 
@@ -63,7 +64,7 @@
     /// Where it listens, by balancer; kept for when it comes back.
     addresses: RefCell<Vec<SocketAddr>>,
     /// Told whenever anything about its life changes.
-    life: watch::Sender<Life>,
+    life: Watched<Life>,
     rng: RefCell<ChaCha8Rng>,
     errors: Cell<u64>,
     reports: RefCell<VecDeque<(Instant, Load)>>,
@@ -116,7 +117,7 @@
             since: Cell::default(),
             tipped: Cell::new(false),
             addresses: RefCell::default(),
-            life: watch::Sender::new(life),
+            life: Watched::new(life),
             errors: Cell::new(0),
             reports: RefCell::default(),
             changed: Rc::default(),
@@ -199,7 +200,7 @@
             cold_ms,
         });
         let wake = Rc::new(Notify::new());
-        self.life.send_modify(|life| {
+        self.life.change(|life| {
             life.process += 1;
             life.alive = true;
         });
@@ -222,7 +223,7 @@
         if self.process.take().is_some() {
             self.stage.record.saw(Seen::Down { node: self.place });
         }
-        self.life.send_modify(|life| life.alive = false);
+        self.life.change(|life| life.alive = false);
     }
 
     fn now(&self) -> f64 {
@@ -256,7 +257,7 @@
         if !begins && !silent {
             self.stop();
         }
-        self.life.send_modify(|life| life.silent = silent);
+        self.life.change(|life| life.silent = silent);
         self.hush();
     }
 
@@ -269,7 +270,7 @@
     pub fn cut(&self, balancer: usize, begins: bool) {
         count(&mut self.troubles.borrow_mut().cut[balancer], begins);
         let cut = self.troubles.borrow().cut[balancer] > 0;
-        self.life.send_modify(|life| life.cut[balancer] = cut);
+        self.life.change(|life| life.cut[balancer] = cut);
         self.hush();
     }
 
@@ -296,7 +297,7 @@
 
     /// Has each listener say something or nothing, as things stand.
     fn hush(&self) {
-        let life = self.life.borrow().clone();
+        let life = self.life.get().clone();
         if let Some(process) = &*self.process.borrow() {
             for (listener, cut) in process.listeners.iter().zip(&life.cut) {
                 listener.borrow_mut().hush(life.silent || *cut);
@@ -400,19 +401,14 @@
                 sleep(Duration::from_millis(5)).await;
                 continue;
             };
-            let life = self.life.subscribe();
+            let life = self.life.watch();
             spawn_local(self.clone().converse(balancer, Talk::new(stream), life));
         }
     }
 
     /// All requests of one connection.
-    async fn converse(
-        self: Rc<Self>,
-        balancer: usize,
-        mut talk: Talk,
-        mut life: watch::Receiver<Life>,
-    ) {
-        let process = life.borrow_and_update().process;
+    async fn converse(self: Rc<Self>, balancer: usize, mut talk: Talk, mut life: Watcher<Life>) {
+        let process = life.see().process;
         let crowded = {
             let mut process = self.process.borrow_mut();
             let Some(p) = &mut *process else { return talk.reset() };
@@ -432,7 +428,7 @@
             talk.reset();
         }
         if let Some(p) = &mut *self.process.borrow_mut()
-            && self.life.borrow().process == process
+            && self.life.get().process == process
         {
             p.connections -= 1;
         }
@@ -493,7 +489,7 @@
             }
         };
         let attempt = record.attempt();
-        let life = self.life.borrow().clone();
+        let life = self.life.get().clone();
         let dark = life.silent || life.cut[balancer];
         let first = At(record.now().0.saturating_sub(message.first.elapsed().as_micros() as u64));
         let work_ms = self.stage.arrival(request).work_ms;
@@ -638,11 +634,11 @@
 }
 
 /// Ends when the connection must: its process is gone, or it is back in reach.
-async fn over(life: &mut watch::Receiver<Life>, process: u64, balancer: usize) {
+async fn over(life: &mut Watcher<Life>, process: u64, balancer: usize) {
     let mut was_dark = false;
     loop {
         {
-            let now = life.borrow_and_update();
+            let now = life.see();
             // A machine that says nothing sends no reset either.
             let dark = now.silent || now.cut[balancer];
             if now.process != process || (!dark && (!now.alive || was_dark)) {
@@ -650,9 +646,7 @@
             }
             was_dark |= dark;
         }
-        if life.changed().await.is_err() {
-            return;
-        }
+        life.changed().await;
     }
 }
 
--- a/crates/rehearsal/src/node/model.rs
+++ b/crates/rehearsal/src/node/model.rs
@@ -308,7 +308,7 @@
         let mut m = Model::start(&kind(), 1.0, 0.0, 0.0, FALL);
         m.slow = 5.0;
         m.arrive(0, 10.0);
-        assert_eq!(finished(&mut m, 49.9), vec![]);
+        assert!(finished(&mut m, 49.9).is_empty());
         assert_eq!(finished(&mut m, 50.0), vec![0]);
     }
 }
--- a/crates/rehearsal/src/scenario/fields.rs
+++ b/crates/rehearsal/src/scenario/fields.rs
@@ -57,6 +57,11 @@
         self.problems.borrow_mut().push((at, what.into()));
     }
 
+    /// Whether something was found wrong so far.
+    pub fn is_wrong(&self) -> bool {
+        !self.problems.borrow().is_empty()
+    }
+
     pub fn line(&self, at: usize) -> usize {
         self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count() + 1
     }
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -1,5 +1,5 @@
-//! What a rehearsal is to play: fleet, balancers, classes, load and faults. Plain data; [`read`] makes it
-//! from a TOML file, and `plan` draws everything that is left to chance.
+//! What a rehearsal is to play: fleet, balancers, classes, load and faults. Plain data; [`Scenario::read`] makes it
+//! from a TOML file, and [`crate::plan`] draws everything that is left to chance.
 
 mod fields;
 mod read;
--- a/crates/rehearsal/src/scenario/read.rs
+++ b/crates/rehearsal/src/scenario/read.rs
@@ -57,7 +57,9 @@
         sockets: 1024,
         notice: Duration::from_secs(2),
     });
-    let known = Known { fleet: &fleet, bank: &bank, classes: &classes };
+    // What a mistake above has left unknown is no second mistake below.
+    let doubtful = file.is_wrong();
+    let known = Known { fleet: &fleet, bank: &bank, classes: &classes, doubtful };
     let faults = top.tables("faults").into_iter().map(|t| fault(t, &known)).collect();
     let scenario = Scenario {
         name: top.text("name", None),
@@ -240,6 +242,8 @@
     fleet: &'a Fleet,
     bank: &'a Bank,
     classes: &'a [Class],
+    /// Something above was wrong: any number may be right.
+    doubtful: bool,
 }
 
 /// Which kind of fault, before its own fields are read.
@@ -263,7 +267,7 @@
 ];
 
 fn fault(t: Table, known: &Known) -> Fault {
-    let most = known.bank.count.saturating_sub(1) as u32;
+    let most = if known.doubtful { MOST_BALANCERS } else { known.bank.count as u32 } - 1;
     let balancer = |t: &Table| t.whole("balancer", 0..=most, None) as usize;
     let kind = match t.choice("kind", &KINDS, None) {
         0 => FaultKind::Die,
@@ -281,7 +285,7 @@
         12 => {
             let name = t.text("class", None);
             let class = known.classes.iter().position(|c| c.name == name);
-            if class.is_none() && t.has("class") {
+            if class.is_none() && t.has("class") && !known.doubtful {
                 let at = t.span_of("class");
                 let names: Vec<&str> = known.classes.iter().map(|c| c.name.as_str()).collect();
                 let what =
@@ -315,7 +319,8 @@
 
 fn selection(t: &Table, known: &Known) -> Selection {
     let fleet = known.fleet;
-    let cells = (0..fleet.nodes).map(|n| fleet.cell_of(n)).max().unwrap_or(0);
+    let nodes = if known.doubtful { MOST_NODES as usize } else { fleet.nodes };
+    let cells = (0..nodes).map(|n| fleet.cell_of(n)).max().unwrap_or(0);
     let zone = t.has("zone").then(|| {
         let zones: Vec<(&str, usize)> =
             fleet.zones.iter().enumerate().map(|(i, z)| (z.as_str(), i)).collect();
@@ -325,7 +330,7 @@
         share: t.has("share").then(|| t.number("share", ONE, None)),
         zone,
         cell: t.has("cell").then(|| t.whole("cell", 0..=cells, None)),
-        nodes: t.places("nodes", fleet.nodes),
+        nodes: t.places("nodes", nodes),
     };
     if selection == Selection::default() {
         let what =
--- /dev/null
+++ b/crates/rehearsal/src/watched.rs
@@ -0,0 +1,110 @@
+//! A value that others wait on for its changes. `tokio::sync::watch` wakes its receivers in an order that is
+//! drawn at random; this one wakes them in the order in which they began to wait, so that a run can be
+//! repeated.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::pin::pin;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+#[derive(Debug, Default)]
+struct Shared<T> {
+    value: RefCell<T>,
+    version: Cell<u64>,
+    changed: Notify,
+}
+
+/// The value, for whoever changes it.
+#[derive(Debug, Default)]
+pub struct Watched<T>(Rc<Shared<T>>);
+
+/// A view of it that knows which change it saw last.
+#[derive(Debug)]
+pub struct Watcher<T> {
+    of: Rc<Shared<T>>,
+    seen: u64,
+}
+
+impl<T> Watched<T> {
+    /// Nobody waits yet.
+    pub fn new(value: T) -> Self {
+        let (value, version) = (RefCell::new(value), Cell::new(0));
+        Self(Rc::new(Shared { value, version, changed: Notify::new() }))
+    }
+
+    /// As it is.
+    pub fn get(&self) -> Ref<'_, T> {
+        self.0.value.borrow()
+    }
+
+    /// Changes it, and wakes all that wait.
+    pub fn change(&self, f: impl FnOnce(&mut T)) {
+        f(&mut self.0.value.borrow_mut());
+        self.0.version.set(self.0.version.get() + 1);
+        self.0.changed.notify_waiters();
+    }
+
+    /// One more that waits; what is there now counts as seen.
+    pub fn watch(&self) -> Watcher<T> {
+        Watcher { of: self.0.clone(), seen: self.0.version.get() }
+    }
+}
+
+impl<T> Watcher<T> {
+    /// As it is; counts as seen.
+    pub fn see(&mut self) -> Ref<'_, T> {
+        self.seen = self.of.version.get();
+        self.of.value.borrow()
+    }
+
+    /// Ends once there is something that was not seen, and counts it as seen.
+    pub async fn changed(&mut self) {
+        while self.seen == self.of.version.get() {
+            let mut notified = pin!(self.of.changed.notified());
+            notified.as_mut().enable();
+            if self.seen == self.of.version.get() {
+                notified.await;
+            }
+        }
+        self.seen = self.of.version.get();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::{LocalSet, spawn_local};
+
+    #[tokio::test]
+    async fn those_who_wait_wake_in_their_order_and_miss_nothing() {
+        let (value, order) = (Watched::new(0), Rc::new(RefCell::new(Vec::new())));
+        LocalSet::new()
+            .run_until(async {
+                let waits = |i: usize| {
+                    let (mut watcher, order) = (value.watch(), order.clone());
+                    spawn_local(async move {
+                        for _ in 0..2 {
+                            watcher.changed().await;
+                            order.borrow_mut().push((i, *watcher.see()));
+                        }
+                    })
+                };
+                let tasks: Vec<_> = (0..20).map(waits).collect();
+                tokio::task::yield_now().await;
+                value.change(|v| *v = 1);
+                tokio::task::yield_now().await;
+                value.change(|v| *v = 2);
+                for task in tasks {
+                    task.await.expect("it ends");
+                }
+            })
+            .await;
+        let expected: Vec<_> = (1..=2).flat_map(|v| (0..20).map(move |i| (i, v))).collect();
+        assert_eq!(*order.borrow(), expected);
+        let mut late = value.watch();
+        value.change(|v| *v = 3);
+        late.changed().await;
+        assert_eq!(*late.see(), 3);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/tests/judge.rs
@@ -0,0 +1,330 @@
+//! The judge on accounts written by hand: each rule right at its limit, on either side of it.
+
+use std::time::Duration;
+
+use hollowpaddle_rehearsal::judge::{Breach, Exactness, judge};
+use hollowpaddle_rehearsal::plan::Plan;
+use hollowpaddle_rehearsal::record::{At, Fate, Line, Phase, Seen};
+use hollowpaddle_rehearsal::scenario::Scenario;
+
+const DAY: &str = r#"
+name = "by hand"
+length_s = 60
+
+[fleet]
+zones = ["a", "b"]
+nodes = 8
+cell_size = 2
+
+[[fleet.kinds]]
+name = "std"
+speed_cv = 0.0
+cold_from = 0.25
+cold_s = 10
+
+[balancers]
+count = 2
+
+[[classes]]
+name = "safe"
+work_ms = 100
+aim_ms = 1000
+deadline_ms = 2000
+effect = "safe"
+
+[[classes]]
+name = "unsafe"
+work_ms = 100
+aim_ms = 1000
+deadline_ms = 2000
+effect = "unsafe"
+
+[[classes]]
+name = "keyed"
+work_ms = 100
+aim_ms = 1000
+deadline_ms = 2000
+effect = "keyed"
+group = "cell"
+window_ms = 1000
+
+[load]
+of_capacity = 0.2
+"#;
+
+/// Nodes 0, 2 are one cell, 4, 6 another of the same zone.
+struct Account {
+    scenario: Scenario,
+    plan: Plan,
+    lines: Vec<Line>,
+}
+
+impl Account {
+    fn new() -> Self {
+        let scenario = Scenario::read("by-hand.toml", DAY).expect("sound");
+        let plan = Plan::draw(&scenario, 1);
+        Self { scenario, plan, lines: Vec::new() }
+    }
+
+    /// The first request of a class.
+    fn request(&self, class: usize) -> u32 {
+        self.plan.arrivals.iter().position(|a| a.class == class).expect("one of each") as u32
+    }
+
+    fn at(&mut self, ms: f64, seen: Seen) -> &mut Self {
+        self.lines.push(Line { at: at(ms), seen });
+        self
+    }
+
+    fn then(&mut self, ms: f64, seen: &Seen) {
+        self.at(ms, seen.clone());
+    }
+
+    fn sent(&mut self, ms: f64, class: usize) -> &mut Self {
+        let request = self.request(class);
+        self.at(ms, Seen::Sent { request, balancer: 0, start: 1, class, again: false })
+    }
+
+    fn answered(&mut self, ms: f64, class: usize, status: u16, attempt: Option<u32>) -> &mut Self {
+        let request = self.request(class);
+        self.at(ms, Seen::Answered { request, status, attempt, retry_after_ms: None })
+    }
+
+    fn attempt(&mut self, ms: f64, class: usize, attempt: u32, node: usize) -> &mut Self {
+        self.attempt_by(ms, class, attempt, node, 0)
+    }
+
+    fn attempt_by(
+        &mut self,
+        ms: f64,
+        class: usize,
+        attempt: u32,
+        node: usize,
+        balancer: usize,
+    ) -> &mut Self {
+        let request = self.request(class);
+        let (first, dark, work_ms) = (at(ms), false, 100.0);
+        let start = 1;
+        self.at(ms, Seen::Attempt { attempt, request, node, balancer, start, first, dark, work_ms })
+    }
+
+    fn ended(&mut self, ms: f64, attempt: u32, fate: Fate) -> &mut Self {
+        self.at(ms, Seen::Ended { attempt, fate })
+    }
+
+    fn told(&mut self, ms: f64, balancer: usize, node: usize, phase: Phase, rev: u64) -> &mut Self {
+        self.told_of(ms, balancer, node, phase, rev, 0.0)
+    }
+
+    fn told_of(
+        &mut self,
+        ms: f64,
+        balancer: usize,
+        node: usize,
+        phase: Phase,
+        revision: u64,
+        since: f64,
+    ) -> &mut Self {
+        self.at(ms, Seen::Told { balancer, node, phase, since: at(since), revision })
+    }
+
+    fn breaches(&self) -> Vec<Breach> {
+        let exact = Exactness { slack: Duration::from_millis(5) };
+        let verdict = judge(&self.scenario, &self.plan, &self.lines, exact);
+        verdict.findings.iter().map(|f| f.breach).collect()
+    }
+}
+
+fn at(ms: f64) -> At {
+    At((ms * 1e3) as u64)
+}
+
+const SAFE: usize = 0;
+const UNSAFE: usize = 1;
+const KEYED: usize = 2;
+
+#[test]
+fn a_drain_told_490_ms_before_a_send_is_in_time_and_510_ms_is_not() {
+    for (after, breaches) in [(490.0, vec![]), (510.0, vec![Breach::SentToDrained])] {
+        let mut account = Account::new();
+        account.told(1000.0, 0, 3, Phase::Draining, 2);
+        account.sent(1000.0 + after, SAFE).attempt(1000.0 + after, SAFE, 1, 3);
+        account.ended(1600.0, 1, Fate::Served).answered(1610.0, SAFE, 200, Some(1));
+        assert_eq!(account.breaches(), breaches, "{after}");
+    }
+}
+
+#[test]
+fn a_drain_binds_only_the_balancer_that_was_told() {
+    let mut account = Account::new();
+    account.told(1000.0, 1, 3, Phase::Draining, 2);
+    account.sent(5000.0, SAFE).attempt(5000.0, SAFE, 1, 3).ended(5100.0, 1, Fate::Served);
+    account.answered(5100.0, SAFE, 200, Some(1));
+    assert_eq!(account.breaches(), vec![]);
+    account.sent(6000.0, KEYED).attempt_by(6000.0, KEYED, 2, 3, 1);
+    account.ended(6100.0, 2, Fate::Served).answered(6100.0, KEYED, 200, Some(2));
+    assert_eq!(account.breaches(), vec![Breach::SentToDrained]);
+}
+
+#[test]
+fn an_older_word_takes_a_drain_back_neither_and_a_newer_one_does() {
+    for (revision, breaches) in [(2, vec![Breach::SentToDrained]), (4, vec![])] {
+        let mut account = Account::new();
+        account.told(1000.0, 0, 3, Phase::Draining, 3).told(1001.0, 0, 3, Phase::Serving, revision);
+        account.sent(5000.0, SAFE).attempt(5000.0, SAFE, 1, 3).ended(5100.0, 1, Fate::Served);
+        account.answered(5100.0, SAFE, 200, Some(1));
+        assert_eq!(account.breaches(), breaches, "{revision}");
+    }
+}
+
+#[test]
+fn whoever_has_not_asked_for_too_long_counts_as_told() {
+    // It asked at 1 s, the node was listed as gone at 2 s; from 12 s on it counts as told of that.
+    for (sent, breaches) in [(11_900.0, vec![]), (12_600.0, vec![Breach::SentToDrained])] {
+        let mut account = Account::new();
+        account.at(1000.0, Seen::Asked { balancer: 0, watch: u64::MAX });
+        account.at(2000.0, Seen::Listed { node: 3, phase: Phase::Deleted, since: At(0) });
+        account.sent(sent, SAFE).attempt(sent, SAFE, 1, 3).ended(sent + 9.0, 1, Fate::Served);
+        account.answered(sent + 9.0, SAFE, 200, Some(1));
+        assert_eq!(account.breaches(), breaches, "{sent}");
+        // While it watches, it is told when it is told.
+        account.lines[0].seen = Seen::Asked { balancer: 0, watch: 7 };
+        assert_eq!(account.breaches(), vec![]);
+    }
+}
+
+#[test]
+fn an_unsafe_request_may_go_again_only_if_its_connection_broke_before_its_last_byte() {
+    let mut account = Account::new();
+    account.sent(1000.0, UNSAFE).at(1010.0, Seen::Partial { node: 0, balancer: 0 });
+    account.attempt(1020.0, UNSAFE, 1, 2).ended(1100.0, 1, Fate::Served);
+    account.answered(1100.0, UNSAFE, 200, Some(1));
+    assert_eq!(account.breaches(), vec![]);
+    for fate in [Fate::Died, Fate::Error, Fate::Spoilt, Fate::Abandoned] {
+        let mut account = Account::new();
+        account.sent(1000.0, UNSAFE).attempt(1010.0, UNSAFE, 1, 0).ended(1015.0, 1, fate);
+        account.attempt(1020.0, UNSAFE, 2, 2).ended(1100.0, 2, Fate::Served);
+        account.answered(1100.0, UNSAFE, 200, Some(2));
+        assert_eq!(account.breaches(), vec![Breach::ResentUnsafe], "{fate:?}");
+    }
+    let mut account = Account::new();
+    account.sent(1000.0, UNSAFE).attempt(1010.0, UNSAFE, 1, 0).ended(1015.0, 1, Fate::TurnedAway);
+    account.attempt(1020.0, UNSAFE, 2, 2).ended(1025.0, 2, Fate::TurnedAway);
+    account.answered(1030.0, UNSAFE, 503, None);
+    assert_eq!(account.breaches(), vec![], "turned away twice, and refused");
+}
+
+#[test]
+fn a_keyed_request_keeps_to_its_cell_and_window() {
+    let cases = [
+        (2, 900.0, vec![]),
+        (4, 900.0, vec![Breach::ResentElsewhere]),
+        (2, 1050.0, vec![Breach::ResentTooLate]),
+    ];
+    for (node, after, breaches) in cases {
+        let mut account = Account::new();
+        account.sent(1000.0, KEYED).attempt(1000.0, KEYED, 1, 0).ended(1015.0, 1, Fate::Died);
+        account.attempt(1000.0 + after, KEYED, 2, node).ended(2200.0, 2, Fate::Dropped);
+        account.answered(2200.0, KEYED, 200, Some(2));
+        assert_eq!(account.breaches(), breaches, "node {node}, {after} ms");
+    }
+    let mut account = Account::new();
+    account.sent(1000.0, KEYED).attempt(1000.0, KEYED, 1, 0).ended(1015.0, 1, Fate::Error);
+    account.answered(1020.0, KEYED, 503, None);
+    assert_eq!(account.breaches(), vec![Breach::RefusedAfterRun]);
+}
+
+#[test]
+fn two_at_a_time_are_told_from_one_after_the_other() {
+    for (closed, breaches) in [(1020.0, vec![]), (1040.0, vec![Breach::TwoAtOnce])] {
+        let mut account = Account::new();
+        account.sent(1000.0, SAFE).attempt(1000.0, SAFE, 1, 0);
+        account.attempt(1020.0, SAFE, 2, 2).at(closed, Seen::Closed { attempt: 1 });
+        account.ended(1100.0, 2, Fate::Served).answered(1100.0, SAFE, 200, Some(2));
+        assert_eq!(account.breaches(), breaches, "{closed}");
+    }
+}
+
+#[test]
+fn what_a_killed_balancer_held_is_its_clients_to_retry_and_silence_is_a_breach() {
+    let silent = |end: &dyn Fn(&mut Account)| {
+        let mut account = Account::new();
+        account.sent(1000.0, SAFE);
+        end(&mut account);
+        let request = account.request(SAFE);
+        account.at(3050.0, Seen::GaveUp { request });
+        account.breaches()
+    };
+    let killed = Seen::Killed { balancer: 0, start: 1 };
+    let other = Seen::Killed { balancer: 1, start: 1 };
+    let stopping = Seen::Stopping { balancer: 0, start: 1 };
+    assert_eq!(silent(&|_| {}), vec![Breach::Lost]);
+    assert_eq!(silent(&|a| a.then(1500.0, &killed)), vec![]);
+    assert_eq!(silent(&|a| a.then(1500.0, &other)), vec![Breach::Lost]);
+    assert_eq!(silent(&|a| a.then(4000.0, &killed)), vec![Breach::Lost]);
+    // A planned end must finish what it took; 0.7 s after SIGTERM there is no excuse.
+    let stopped = |a: &mut Account, kill: f64| {
+        a.then(1500.0, &stopping);
+        a.then(kill, &killed);
+    };
+    assert_eq!(silent(&|a| stopped(a, 2500.0)), vec![Breach::Lost]);
+    assert_eq!(silent(&|a| stopped(a, 1900.0)), vec![]);
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_and_an_answer_that_breaks_off_has_failed() {
+    let mut account = Account::new();
+    let (safe, keyed) = (account.request(SAFE), account.request(KEYED));
+    account.sent(1000.0, SAFE).at(1200.0, Seen::Left { request: safe });
+    account.sent(1000.0, KEYED).at(1200.0, Seen::Broken { request: keyed, begun: true });
+    assert_eq!(account.breaches(), vec![]);
+    account.lines.pop();
+    account.at(1200.0, Seen::Broken { request: keyed, begun: false });
+    assert_eq!(account.breaches(), vec![Breach::Lost]);
+}
+
+#[test]
+fn an_answer_must_be_one_that_a_node_made_for_this_request() {
+    for (attempt, breaches) in [
+        (Some(1), vec![]),
+        (None, vec![Breach::ForeignAnswer]),
+        (Some(2), vec![Breach::ForeignAnswer]),
+    ] {
+        let mut account = Account::new();
+        account.sent(1000.0, SAFE).attempt(1000.0, SAFE, 1, 0).ended(1100.0, 1, Fate::Served);
+        account.sent(1000.0, KEYED).attempt(1000.0, KEYED, 2, 0).ended(1100.0, 2, Fate::Served);
+        account.answered(1100.0, KEYED, 200, Some(2)).answered(1100.0, SAFE, 200, attempt);
+        assert_eq!(account.breaches(), breaches, "{attempt:?}");
+    }
+}
+
+/// A cold start of node 3 at 1 s: a core at 0.25 bears 4 x 0.25 x 2,000 = 2,000 ms of work in 2 s, and three
+/// requests by chance; so 23 requests.
+fn cold(sends: usize, by: impl Fn(usize) -> usize, told: &[usize]) -> Vec<Breach> {
+    let mut account = Account::new();
+    account.at(1000.0, Seen::Up { node: 3, full: 1.0, cold_from: 0.25, cold_ms: 10_000.0 });
+    for &balancer in told {
+        account.told_of(1100.0, balancer, 3, Phase::Serving, 2, 1000.0);
+    }
+    // Of one request; what else is wrong with that is not asked here.
+    for i in 0..sends {
+        let ms = 1200.0 + i as f64;
+        account.attempt_by(ms, SAFE, i as u32, 3, by(i)).ended(ms, i as u32, Fate::TurnedAway);
+    }
+    account.breaches().into_iter().filter(|b| b.rule() == 4).collect()
+}
+
+#[test]
+fn a_cold_node_bears_so_much_from_all_balancers_together() {
+    assert_eq!(cold(23, |_| 0, &[0]), vec![]);
+    assert_eq!(cold(24, |_| 0, &[0]), vec![Breach::PushedOver]);
+    // Twelve from each is nothing that one of them could see.
+    assert_eq!(cold(24, |i| i % 2, &[0, 1]), vec![Breach::PushedOver]);
+}
+
+#[test]
+fn whoever_was_not_told_of_a_start_can_not_have_known() {
+    assert_eq!(cold(24, |_| 0, &[]), vec![], "the list was stale");
+    assert_eq!(cold(24, |i| i % 2, &[0]), vec![], "half of it came from one that was not told");
+    assert_eq!(cold(24, |i| usize::from(i % 4 == 3), &[0]), vec![Breach::PushedOver]);
+}
--- /dev/null
+++ b/crates/rehearsal/tests/scenarios.rs
@@ -0,0 +1,186 @@
+//! Scenario files and plans: every mistake is told with its line, and a plan is a pure function.
+
+use hollowpaddle_rehearsal::plan::Plan;
+use hollowpaddle_rehearsal::scenario::Scenario;
+use proptest::prelude::*;
+
+const SOUND: &str = r#"name = "sound"
+length_s = 20
+
+[fleet]
+zones = ["a", "b"]
+nodes = 10
+
+[[fleet.kinds]]
+name = "std"
+
+[balancers]
+count = 2
+
+[[classes]]
+name = "read"
+work_ms = 50
+aim_ms = 500
+deadline_ms = 1000
+effect = "safe"
+
+[load]
+of_capacity = 0.5
+shape = "wave"
+
+[[faults]]
+kind = "die"
+start_s = 5
+length_s = 5
+share = 0.3
+group = "g"
+
+[[faults]]
+kind = "slow"
+start_s = 6
+length_s = 5
+factor = 3
+share = 0.3
+group = "g"
+
+[[faults]]
+kind = "replace"
+start_s = 7
+length_s = 2
+nodes = [1, 4]
+same_address = true
+"#;
+
+fn problems(text: &str) -> Vec<String> {
+    let problems = Scenario::read("day.toml", text).expect_err("it is wrong");
+    problems.0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn what_ships_is_sound() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../rehearsals");
+    let mut seen = 0;
+    for entry in std::fs::read_dir(folder).expect("the folder") {
+        let path = entry.expect("an entry").path();
+        let text = std::fs::read_to_string(&path).expect("a text");
+        let scenario = Scenario::read(&path.display().to_string(), &text);
+        let scenario = scenario.unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(Some(scenario.name.as_str()), path.file_stem().and_then(|s| s.to_str()));
+        assert!(!scenario.about.is_empty());
+        seen += 1;
+    }
+    assert!(seen >= 7, "{seen}");
+}
+
+#[test]
+fn all_mistakes_are_told_at_once_each_with_its_line() {
+    let text = SOUND
+        .replace("length_s = 20", "length_s = \"long\"")
+        .replace("nodes = 10", "nodes = 0\ncolour = \"red\"")
+        .replace("effect = \"safe\"", "effect = \"harmless\"")
+        .replace("kind = \"die\"", "kind = \"dye\"")
+        .replace("factor = 3\n", "")
+        .replace("nodes = [1, 4]", "nodes = [1, 4.5]");
+    let told = problems(&text);
+    let expected = [
+        "day.toml:2:12: `length_s` is a text: expected a number from 1 to 86400",
+        "day.toml:6:9: `fleet.nodes` is 0: expected a number from 1 to 10000",
+        "day.toml:7:1: `fleet.colour` is not known here",
+        "day.toml:20:10: `classes.effect` is \"harmless\": expected one of safe, keyed, unsafe",
+        "day.toml:27:8: `faults.kind` is \"dye\": expected one of die, vanish,",
+        "day.toml:33:1: `faults.factor` is missing: expected a number from 1 to 1000",
+        "day.toml:44:13: `faults.nodes`: expected a list of whole numbers from 0 to",
+    ];
+    for (i, start) in expected.iter().enumerate() {
+        let line = told.get(i).map(String::as_str).unwrap_or("nothing");
+        assert!(line.starts_with(start), "expected {start}\ngot {line}\nof {told:#?}");
+    }
+    assert_eq!(told.len(), expected.len(), "{told:#?}");
+}
+
+#[test]
+fn a_text_that_is_no_toml_says_where() {
+    let told = problems("name = \"x\"\nlength_s = = 4\n");
+    assert!(told[0].starts_with("day.toml:2:12: this is not TOML"), "{told:?}");
+}
+
+#[test]
+fn what_lacks_its_main_parts_says_which() {
+    let told = problems("");
+    for part in ["no class", "no fleet", "`name` is missing", "`length_s` is missing"] {
+        assert!(told.iter().any(|t| t.contains(part)), "{part}: {told:?}");
+    }
+}
+
+#[test]
+fn a_fault_that_strikes_nobody_or_an_aim_past_the_deadline_is_a_mistake() {
+    let told = problems(&SOUND.replace(
+        "share = 0.3\ngroup = \"g\"\n\n[[faults]]\nkind = \"slow\"",
+        "[[faults]]\nkind = \"slow\"",
+    ));
+    assert!(told.iter().any(|t| t.contains("strikes no node")), "{told:?}");
+    let told = problems(&SOUND.replace("aim_ms = 500", "aim_ms = 5000"));
+    assert!(told.iter().any(|t| t.contains("later than the deadline")), "{told:?}");
+}
+
+#[test]
+fn a_plan_is_a_pure_function_of_scenario_and_seed() {
+    let scenario = Scenario::read("day.toml", SOUND).expect("sound");
+    let (a, b, c) = (Plan::draw(&scenario, 7), Plan::draw(&scenario, 7), Plan::draw(&scenario, 8));
+    assert_eq!((&a, a.digest()), (&b, b.digest()));
+    assert_ne!(a.digest(), c.digest());
+    assert!(a.arrivals.is_sorted_by_key(|r| r.at) && a.acts.is_sorted_by_key(|x| x.at));
+    // Half of what ten cores of speed 1 can do, in requests of 50 ms, for 20 s.
+    let asked = a.arrivals.len() as f64;
+    assert!((asked - 2000.0).abs() < 400.0, "{asked}");
+}
+
+#[test]
+fn faults_of_one_group_strike_the_same_nodes() {
+    let scenario = Scenario::read("day.toml", SOUND).expect("sound");
+    for seed in 0..20 {
+        let plan = Plan::draw(&scenario, seed);
+        let of = |fault| plan.acts.iter().find(|a| a.fault == fault).expect("it strikes");
+        assert_eq!(of(0).nodes, of(1).nodes);
+        assert_eq!(of(0).nodes.len(), 3);
+        let replaced = of(2);
+        assert_eq!((&replaced.nodes, replaced.newcomers.len()), (&vec![1, 4], 2));
+        for (old, new) in replaced.nodes.iter().zip(&replaced.newcomers) {
+            assert_eq!(plan.machines[*new].comes_for, Some((*old, true)));
+            assert_eq!(plan.machines[*new].cell, plan.machines[*old].cell);
+            assert_ne!(plan.machines[*new].id, plan.machines[*old].id);
+        }
+    }
+}
+
+#[test]
+fn what_one_fault_draws_moves_nothing_else() {
+    let with = Scenario::read("day.toml", SOUND).expect("sound");
+    let mut without = with.clone();
+    without.faults.clear();
+    let (a, b) = (Plan::draw(&with, 3), Plan::draw(&without, 3));
+    assert_eq!(a.arrivals, b.arrivals);
+    assert_eq!(a.machines[..10], b.machines[..]);
+}
+
+proptest! {
+    #[test]
+    fn no_text_is_a_panic(text in "\\PC{0,300}") {
+        let _ = Scenario::read("any.toml", &text);
+    }
+
+    #[test]
+    fn no_change_of_a_sound_file_is_a_panic(at in 0usize..SOUND.len(), cut in 0usize..30, new in "[ -~\n]{0,8}") {
+        let end = (at + cut).min(SOUND.len());
+        let text = format!("{}{new}{}", &SOUND[..at], &SOUND[end..]);
+        match Scenario::read("any.toml", &text) {
+            Ok(scenario) => drop(Plan::draw(&scenario, 1).digest()),
+            Err(problems) => {
+                prop_assert!(!problems.0.is_empty());
+                for problem in problems.0 {
+                    prop_assert!(problem.line <= text.lines().count() + 1 && problem.column > 0);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/tests/scripted/mod.rs
@@ -0,0 +1,329 @@
+//! A balancer small enough to be read at a glance, correct by default, with a switch for each way to break a
+//! rule. It exists to show that the judge can fail; nothing of it is the daemon's.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowpaddle_net::{Network, accept};
+use hollowpaddle_rehearsal::bank::{Control, Launch, LaunchError, Launcher, Running};
+use hollowpaddle_rehearsal::wire::{Message, Side, Talk};
+use serde_json::Value;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+/// The way in which it breaks a rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Takes every 20th request and says nothing.
+    Loses,
+    /// Closes on every 20th request without a word.
+    Hangs,
+    /// Writes every 20th answer twice.
+    AnswersTwice,
+    /// Answers every 20th request with words of its own.
+    Invents,
+    /// Refuses every 20th safe request, and sends it all the same.
+    SendsAfterAnswer,
+    /// Ends by itself after 100 requests.
+    Crashes,
+    /// Sends unsafe requests again after an error.
+    ResendsUnsafe,
+    /// Sends keyed ones again after an error, to another cell.
+    ResendsElsewhere,
+    /// Sends keyed ones again after an error, to the same node, once its memory is over.
+    ResendsTooLate,
+    /// Sends every 20th safe request to two nodes at once.
+    TwoAtOnce,
+    /// Tries safe ones five times.
+    TriesTooOften,
+    /// Refuses unsafe ones after an error.
+    RefusesAfterRun,
+    /// Drops a letter of every 20th body.
+    Alters,
+    /// Never hears of drains.
+    DeafToDrains,
+    /// Sends all to whoever came last.
+    PushesOver,
+}
+
+pub struct Scripted(pub Fault);
+
+struct Node {
+    id: String,
+    address: SocketAddr,
+    cell: u64,
+    phase: String,
+    since_ms: f64,
+}
+
+struct Balancer {
+    fault: Fault,
+    network: Rc<dyn Network>,
+    discovery: SocketAddr,
+    nodes: RefCell<Vec<Node>>,
+    next: Cell<usize>,
+    taken: Cell<u64>,
+    over: Rc<Notify>,
+    classes: HashMap<String, (String, Duration)>,
+    cold: f64,
+    start: Instant,
+    unix: Duration,
+    idle: RefCell<HashMap<SocketAddr, Vec<Talk>>>,
+}
+
+impl Launcher for Scripted {
+    fn launch(&self, launch: Launch) -> Result<Running, LaunchError> {
+        let config: Value = serde_json::from_str(&launch.config).expect("JSON");
+        let settings = &config["settings"];
+        let class = |c: &Value| {
+            let name = c["Name"].as_str().expect("a name").to_string();
+            let window = Duration::from_secs_f64(c["Window"].as_f64().expect("a time") / 1e3);
+            (name, (c["Effect"].as_str().expect("an effect").to_string(), window))
+        };
+        let services = settings["Services"].as_array().expect("classes");
+        let over = Rc::new(Notify::new());
+        let balancer = Rc::new(Balancer {
+            fault: self.0,
+            discovery: launch.discovery,
+            nodes: RefCell::default(),
+            next: Cell::new(0),
+            taken: Cell::new(0),
+            over: over.clone(),
+            classes: services.iter().map(class).collect(),
+            cold: settings["Safety"]["Cold"].as_f64().expect("a time"),
+            start: Instant::now(),
+            unix: launch.network.unix_now(),
+            idle: RefCell::default(),
+            network: launch.network,
+        });
+        balancer.listed(&config["known"]);
+        let mut listener = balancer.network.listen(launch.listen).expect("a free address");
+        let task = spawn_local(async move {
+            let tasks = LocalSet::new();
+            let watching = balancer.clone();
+            let run = async move {
+                spawn_local(async move {
+                    loop {
+                        watching.watch().await;
+                        sleep(Duration::from_millis(500)).await;
+                    }
+                });
+                loop {
+                    let (stream, _) = accept(&mut *listener).await.expect("a connection");
+                    spawn_local(balancer.clone().converse(Talk::new(stream)));
+                }
+            };
+            tokio::select! {
+                biased;
+                () = over.notified() => {}
+                () = tasks.run_until(run) => {}
+            }
+        });
+        let control = Box::new(Hand(task.abort_handle()));
+        let ended = Box::pin(async move { task.await.ok().map(|()| 3) });
+        Ok(Running { control, ended })
+    }
+}
+
+struct Hand(AbortHandle);
+
+impl Control for Hand {
+    fn kill(&self) {
+        self.0.abort();
+    }
+    fn terminate(&self) {
+        self.0.abort();
+    }
+    fn reload(&self, _: &str) {}
+}
+
+fn answer(status: u16, body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+impl Balancer {
+    fn listed(&self, list: &Value) {
+        let mut nodes = self.nodes.borrow_mut();
+        let members = list["members"].as_array().expect("members");
+        if list["complete"].as_bool() == Some(true) {
+            nodes.retain(|n| members.iter().any(|m| m["id"] == n.id.as_str()));
+        }
+        for m in members {
+            let id = m["id"].as_str().expect("an id").to_string();
+            let mut phase = m["phase"].as_str().expect("a phase").to_string();
+            if self.fault == Fault::DeafToDrains {
+                phase = "SERVING".to_string();
+            }
+            nodes.retain(|n| n.id != id);
+            nodes.push(Node {
+                id,
+                address: m["host_port"].as_str().expect("a text").parse().expect("an address"),
+                cell: m["cell"].as_u64().expect("a cell"),
+                phase,
+                since_ms: m["up_since_ms"].as_f64().expect("a time"),
+            });
+        }
+    }
+
+    async fn watch(&self) {
+        let Ok(stream) = self.network.connect(self.discovery).await else { return };
+        // Chunks come as messages of their own: the stand-in's lines, one at a time.
+        let mut talk = Talk::new(stream);
+        let call = b"GET /api/targets HTTP/1.1\r\nHost: a\r\n\r\n";
+        while talk.write(call).await.is_ok() {
+            let Ok(list) = talk.message(Side::Answers).await else { return };
+            if list.status() == 200 {
+                self.listed(&serde_json::from_slice(&list.body).expect("JSON"));
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    async fn converse(self: Rc<Self>, mut talk: Talk) {
+        while let Ok(request) = talk.message(Side::Requests).await {
+            if request.start.1 == "/-/ready" {
+                let _ = talk.write(&answer(200, b"")).await;
+                continue;
+            }
+            let n = self.taken.get() + 1;
+            self.taken.set(n);
+            let every = n.is_multiple_of(20);
+            match self.fault {
+                Fault::Loses if every => {
+                    sleep(Duration::from_secs(3600)).await;
+                }
+                Fault::Hangs if every => return,
+                Fault::Crashes if n == 100 => self.over.notify_one(),
+                _ => {}
+            }
+            let safe = self.effect(&request).0 == "retryable";
+            if self.fault == Fault::SendsAfterAnswer && every && safe {
+                let _ = talk.write(&answer(503, b"")).await;
+                sleep(Duration::from_millis(100)).await;
+                let _ = self.serve(&request).await;
+                continue;
+            }
+            let mut text = self.serve(&request).await;
+            if self.fault == Fault::Invents && every {
+                text = answer(200, b"all is well");
+            }
+            let _ = talk.write(&text).await;
+            if self.fault == Fault::AnswersTwice && every {
+                let _ = talk.write(&text).await;
+            }
+        }
+    }
+
+    fn effect(&self, request: &Message) -> (String, Duration) {
+        self.classes[request.header("x-class").expect("a class")].clone()
+    }
+
+    /// The next node that takes requests and is warm: address and cell.
+    fn pick(&self, not: Option<u64>) -> Option<(SocketAddr, u64)> {
+        let now = (self.unix + self.start.elapsed()).as_secs_f64() * 1e3;
+        let nodes = self.nodes.borrow();
+        let cold = |n: &&Node| n.since_ms > 0.0 && now < n.since_ms + self.cold;
+        if self.fault == Fault::PushesOver
+            && let Some(n) = nodes.iter().find(cold)
+        {
+            return Some((n.address, n.cell));
+        }
+        let good: Vec<&Node> = nodes
+            .iter()
+            .filter(|n| n.phase == "SERVING" && !cold(n) && Some(n.cell) != not)
+            .collect();
+        self.next.set(self.next.get() + 1);
+        let node = good.get(self.next.get() % good.len().max(1))?;
+        Some((node.address, node.cell))
+    }
+
+    async fn serve(&self, request: &Message) -> Vec<u8> {
+        let (effect, window) = self.effect(request);
+        let left: u64 = request.header("x-deadline-ms").expect("a time").parse().expect("ms");
+        let until = Instant::now() + Duration::from_millis(left) - Duration::from_millis(30);
+        let every = self.taken.get().is_multiple_of(20);
+        let most = if self.fault == Fault::TriesTooOften { 5 } else { 3 };
+        let mut not = None;
+        let mut again: Option<SocketAddr> = None;
+        for _ in 0..most {
+            let again_at = again.take();
+            let picked = again_at.map(|a| (a, 0)).or_else(|| self.pick(not));
+            let Some((address, cell)) = picked else { return answer(503, b"") };
+            if self.fault == Fault::TwoAtOnce && every && effect == "retryable" {
+                let other = self.pick(Some(cell)).map_or(address, |(a, _)| a);
+                let (first, _) = tokio::join!(
+                    self.attempt(address, request, until),
+                    self.attempt(other, request, until)
+                );
+                return first.map_or(answer(502, b""), |m| answer(200, &m.body));
+            }
+            let (sent, late) = (Instant::now(), again_at == Some(address));
+            let got = self.attempt(address, request, until).await;
+            match got {
+                Ok(m) if m.status() == 200 => return answer(200, &m.body),
+                // Its one fault is to be late, not to go elsewhere.
+                _ if late => return answer(502, b""),
+                Ok(m) if m.header("x-not-run") == Some("1") => continue,
+                Err(Missed::NeverUp) => continue,
+                Err(Missed::Late) => return answer(504, b""),
+                _ => {}
+            }
+            match (effect.as_str(), self.fault) {
+                ("retryable", _) | ("fragile", Fault::ResendsUnsafe) => {}
+                ("fragile", Fault::RefusesAfterRun) => return answer(503, b""),
+                ("dedup", Fault::ResendsElsewhere) if not.is_none() => not = Some(cell),
+                ("dedup", Fault::ResendsTooLate) => {
+                    sleep_until(sent + window + Duration::from_millis(100)).await;
+                    again = Some(address);
+                }
+                _ => return answer(502, b""),
+            }
+        }
+        answer(if effect == "retryable" { 503 } else { 502 }, b"")
+    }
+
+    async fn attempt(
+        &self,
+        address: SocketAddr,
+        request: &Message,
+        until: Instant,
+    ) -> Result<Message, Missed> {
+        let kept = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
+        let mut talk = match kept.filter(Talk::is_quiet) {
+            Some(talk) => talk,
+            None => {
+                let wait = Instant::now() + Duration::from_millis(250);
+                let stream = timeout_at(wait, self.network.connect(address)).await;
+                Talk::new(stream.map_err(|_| Missed::NeverUp)?.map_err(|_| Missed::NeverUp)?)
+            }
+        };
+        let mut body = String::from_utf8_lossy(&request.body).into_owned();
+        if self.fault == Fault::Alters && self.taken.get().is_multiple_of(20) {
+            body.pop();
+        }
+        let mut text = format!("{} {} HTTP/1.1\r\n", request.start.0, request.start.1);
+        for (name, value) in &request.headers {
+            if !name.eq_ignore_ascii_case("content-length") {
+                text.push_str(&format!("{name}: {value}\r\n"));
+            }
+        }
+        text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
+        talk.write(text.as_bytes()).await.map_err(|_| Missed::Broke)?;
+        let answer = timeout_at(until, talk.message(Side::Answers)).await;
+        let message = answer.map_err(|_| Missed::Late)?.map_err(|_| Missed::Broke)?;
+        self.idle.borrow_mut().entry(address).or_default().push(talk);
+        Ok(message)
+    }
+}
+
+enum Missed {
+    NeverUp,
+    Late,
+    Broke,
+}
