--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -4,7 +4,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use socket2::SockRef;
@@ -40,7 +40,13 @@
         socket.listen(BACKLOG)?;
         let listener = TcpListener::from_std(socket.into())?;
         let address = listener.local_addr()?;
-        Ok(Box::new(Listening { listener, address, fillers: Vec::new() }))
+        Ok(Box::new(Listening {
+            listener,
+            address,
+            fillers: Vec::new(),
+            hushed: false,
+            waits: None,
+        }))
     }
 
     fn unix_now(&self) -> Duration {
@@ -106,6 +112,8 @@
     address: SocketAddr,
     /// While hushed: our own connections, which take all places in the backlog.
     fillers: Vec<socket2::Socket>,
+    hushed: bool,
+    waits: Option<Waker>,
 }
 
 /// Linux takes one connection more than the backlog says; a few more tries cost nothing.
@@ -116,6 +124,11 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<(Box<dyn Stream>, SocketAddr)>> {
+        // Accepting would make room in the backlog again.
+        if self.hushed {
+            self.waits = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
         let (stream, peer) = ready!(self.listener.poll_accept(cx))?;
         stream.set_nodelay(true)?;
         Poll::Ready(Ok((Box::new(Connection(stream)), peer)))
@@ -127,10 +140,14 @@
 
     /// With the backlog full the kernel drops a SYN without a word, and no privilege is needed to have it so.
     fn hush(&mut self, hushed: bool) {
+        if std::mem::replace(&mut self.hushed, hushed) == hushed {
+            return;
+        }
         let socket = SockRef::from(&self.listener);
         if !hushed {
             self.fillers.clear();
             let _ = socket.listen(BACKLOG);
+            self.waits.take().into_iter().for_each(Waker::wake);
             return;
         }
         let _ = socket.listen(0);
@@ -176,7 +193,12 @@
         let address = listener.local_addr();
         listener.hush(true);
         let try_it = || tokio::time::timeout(Duration::from_millis(300), Tcp.connect(address));
-        assert!(try_it().await.is_err(), "it came up or was refused");
+        // Whoever accepts all the time, as a stand-in does, must not make room again.
+        for _ in 0..3 {
+            let accepting = tokio::time::timeout(Duration::ZERO, accept(&mut *listener));
+            assert!(accepting.await.is_err(), "accepted");
+            assert!(try_it().await.is_err(), "it came up or was refused");
+        }
         listener.hush(false);
         // The fillers that were let go are still in line; whoever comes now is behind them.
         let wait = Duration::from_secs(20);
--- a/crates/rehearsal/src/bank.rs
+++ b/crates/rehearsal/src/bank.rs
@@ -97,6 +97,8 @@
     control: Option<Box<dyn Control>>,
     start: u32,
     address: Option<SocketAddr>,
+    /// The list as it was told at its start.
+    known: Value,
     peak: Resources,
     /// Processor time of the starts before this one.
     cpu_before: u64,
@@ -140,6 +142,8 @@
             what: format!("no address to listen on: {e}"),
         })?;
         let start = self.stage.next_start(balancer);
+        let known = self.list.known(balancer);
+        self.slots.borrow_mut()[balancer].known = known;
         let launch = Launch {
             number: balancer,
             start,
@@ -236,7 +240,7 @@
         }
     }
 
-    /// Has all read their configuration again.
+    /// Has all read their configuration again. Only the list's address is new in it.
     pub fn reload(&self) {
         for balancer in 0..self.stage.scenario.bank.count {
             let (address, start) = {
@@ -291,7 +295,7 @@
                 "memory_mb": scenario.bank.memory_mb,
                 "sockets": scenario.bank.sockets,
             },
-            "known": self.list.known(balancer),
+            "known": self.slots.borrow()[balancer].known,
             "settings": settings(scenario, balancer),
         })
         .to_string()
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`scenario`] says what is to be played, [`plan`] draws what is left to chance, [`run`] plays it in real
 //! time on loopback or in virtual time on a network inside the process, [`record`] is the account of it.
-//! Stand-ins can be used one by one: [`node`], [`list`], [`clients`], and [`wire`] for peers of one's own.
+//! Stand-ins can be used one by one: [`node`], [`list`], [`clients`]; [`wire`] is for peers of one's own, and
+//! [`scripted`] has some that a test scripts by hand.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -18,6 +19,7 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod scripted;
 pub mod stage;
 pub mod sweep;
 pub mod watched;
--- a/crates/rehearsal/src/wire.rs
+++ b/crates/rehearsal/src/wire.rs
@@ -210,6 +210,17 @@
         }
     }
 
+    /// What has come and belongs to no message, or what comes next.
+    ///
+    /// # Errors
+    /// How the connection ended.
+    pub async fn some(&mut self) -> Result<Bytes, Ended> {
+        if self.buffer.is_empty() {
+            self.fill().await?;
+        }
+        Ok(self.buffer.split().freeze())
+    }
+
     /// Reads what comes, and throws it away, until nothing has come for so long. How much it was.
     pub async fn drain(&mut self, quiet: Duration) -> usize {
         let mut bytes = std::mem::take(&mut self.buffer).len();
