--- a/crates/rehearsal/src/list.rs
+++ b/crates/rehearsal/src/list.rs
@@ -12,7 +12,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::node::Node;
+use crate::node::{Node, count};
 use crate::record::{At, Phase, Seen};
 use crate::scenario::Scenario;
 use crate::stage::{Stage, Who};
@@ -434,7 +434,3 @@
         "up_since_ms": up,
     })
 }
-
-fn count(of: &mut u32, begins: bool) {
-    *of = if begins { *of + 1 } else { of.saturating_sub(1) };
-}
--- a/crates/rehearsal/src/node/mod.rs
+++ b/crates/rehearsal/src/node/mod.rs
@@ -1,13 +1,14 @@
 //! A stand-in node: an upstream on its own addresses, one for each balancer, so that it knows who sent what
-//! and can be out of reach for one of them. What it does with time is [`model`]'s; this is its I/O.
+//! and can be out of reach for one of them. What it does with time is [`model`]'s, its
+//! connections are `serving`'s; this is its life: starts, ends and troubles.
 
 pub mod model;
+mod serving;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use hollowpaddle_net::Listener;
@@ -16,15 +17,14 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::plan::Machine;
-use crate::record::{At, Fate, Seen};
-use crate::scenario::{Effect, Group, Kind};
+use crate::record::{At, Seen};
+use crate::scenario::Kind;
 use crate::stage::{Stage, Who};
-use crate::watched::{Watched, Watcher};
-use crate::wire::{Ended, Message, Side, Talk};
-use model::{Fall, Model, Verdict};
+use crate::watched::Watched;
+use model::{Fall, Model};
 
 /// Work sent by chance that a cold node bears on top: so many requests of the mean work.
 const SLACK_REQUESTS: f64 = 3.0;
@@ -403,269 +403,10 @@
             noisy(load.inflight)
         )
     }
-
-    async fn accept(self: Rc<Self>, balancer: usize, door: Door) {
-        loop {
-            let next = std::future::poll_fn(|cx| match &mut *door.borrow_mut() {
-                Some(listener) => listener.poll_accept(cx),
-                None => Poll::Pending,
-            })
-            .await;
-            let Ok((stream, _)) = next else {
-                // None of accept's errors ends a listener.
-                sleep(Duration::from_millis(5)).await;
-                continue;
-            };
-            let life = self.life.watch();
-            spawn_local(self.clone().converse(balancer, Talk::new(stream), life));
-        }
-    }
-
-    /// All requests of one connection.
-    async fn converse(self: Rc<Self>, balancer: usize, mut talk: Talk, mut life: Watcher<Life>) {
-        let process = life.see().process;
-        let crowded = {
-            let mut process = self.process.borrow_mut();
-            let Some(p) = &mut *process else { return talk.reset() };
-            p.connections += 1;
-            p.model.bother(self.kind.handshake_ms);
-            p.connections > self.kind.connections
-        };
-        let ended = {
-            let over = over(&mut life, process, balancer);
-            tokio::select! {
-                biased;
-                () = over => true,
-                () = self.requests(balancer, &mut talk, crowded) => false,
-            }
-        };
-        if ended {
-            talk.reset();
-        }
-        if let Some(p) = &mut *self.process.borrow_mut()
-            && self.life.get().process == process
-        {
-            p.connections -= 1;
-        }
-    }
-
-    async fn requests(self: &Rc<Self>, balancer: usize, talk: &mut Talk, crowded: bool) {
-        let record = &self.stage.record;
-        loop {
-            let idle = self.stage.scenario.rules.keepalive;
-            let message = match timeout(idle, talk.message(Side::Requests)).await {
-                Err(_) => return, // It has idled for too long.
-                Ok(Ok(message)) => message,
-                Ok(Err(Ended::Closed { inside: false } | Ended::Reset { inside: false })) => return,
-                Ok(Err(Ended::Closed { .. } | Ended::Reset { .. })) => {
-                    return record.saw(Seen::Partial { node: self.place, balancer });
-                }
-                Ok(Err(Ended::Malformed(what))) => {
-                    return record.saw(Seen::Stranger { node: self.place, balancer, what });
-                }
-            };
-            if !self.request(balancer, talk, message, crowded).await {
-                return;
-            }
-        }
-    }
-
-    /// Which request this is, if it is one that a client sent, in its form.
-    fn known(&self, message: &Message) -> Result<u32, String> {
-        let id = message.header("x-request-id").ok_or("no X-Request-Id")?;
-        let request = self.stage.request(id).ok_or_else(|| format!("no client sent {id}"))?;
-        let class = self.stage.class(request);
-        let key = match class.effect {
-            Effect::Keyed => Some(self.stage.idempotency_key(request)),
-            _ => None,
-        };
-        let fits = message.start.0 == class.effect.method()
-            && message.start.1 == self.stage.target(request)
-            && message.body == self.stage.body(request)
-            && message.header("idempotency-key") == key.as_deref();
-        if fits { Ok(request) } else { Err(format!("{id} was not sent in this form")) }
-    }
-
-    /// One request; whether the connection goes on.
-    async fn request(
-        self: &Rc<Self>,
-        balancer: usize,
-        talk: &mut Talk,
-        message: Message,
-        crowded: bool,
-    ) -> bool {
-        let record = &self.stage.record;
-        let request = match self.known(&message) {
-            Ok(request) => request,
-            Err(what) => {
-                record.saw(Seen::Stranger { node: self.place, balancer, what });
-                let _ = talk.write(answer(400, "", "").as_bytes()).await;
-                return false;
-            }
-        };
-        let attempt = record.attempt();
-        let life = self.life.get().clone();
-        let dark = life.silent || life.cut[balancer];
-        let first = At(record.now().0.saturating_sub(message.first.elapsed().as_micros() as u64));
-        let work_ms = self.stage.arrival(request).work_ms;
-        let start = self.stage.start_of(balancer);
-        record.saw(Seen::Attempt {
-            attempt,
-            request,
-            node: self.place,
-            balancer,
-            start,
-            first,
-            dark,
-            work_ms,
-        });
-        if dark {
-            let _lost = OnDrop::new(|| record.saw(Seen::Ended { attempt, fate: Fate::Died }));
-            let _ = talk.end().await;
-            _lost.cancel();
-            record.saw(Seen::Closed { attempt });
-            return false;
-        }
-        let fate = self.run(talk, attempt, request, crowded).await;
-        let Some(fate) = fate else { return false };
-        record.saw(Seen::Ended { attempt, fate });
-        let load = self.load_header();
-        let text = match fate {
-            Fate::Served | Fate::Dropped => {
-                answer(200, &load, &format!("{} {attempt}", self.stage.arrival(request).id))
-            }
-            Fate::Error => answer(500, &load, ""),
-            Fate::Spoilt => self.spoilt(),
-            _ => answer(503, &format!("X-Not-Run: 1\r\n{load}"), ""),
-        };
-        let written = talk.write(text.as_bytes()).await.is_ok();
-        if written && fate == Fate::Spoilt {
-            // The connection stays open, and is of no further use.
-            let _ = talk.end().await;
-            return false;
-        }
-        written && !crowded
-    }
-
-    /// Runs a request; `None` if its connection ended first.
-    async fn run(
-        self: &Rc<Self>,
-        talk: &mut Talk,
-        attempt: u32,
-        request: u32,
-        crowded: bool,
-    ) -> Option<Fate> {
-        let record = &self.stage.record;
-        if crowded || self.drains() {
-            return Some(Fate::TurnedAway);
-        }
-        if self.seen_before(request) {
-            return Some(Fate::Dropped);
-        }
-        self.advance();
-        let (tell, done) = oneshot::channel();
-        {
-            let mut process = self.process.borrow_mut();
-            let process = process.as_mut()?;
-            match process.model.arrive(attempt, self.stage.arrival(request).work_ms) {
-                Verdict::Taken => {}
-                Verdict::Full => return Some(Fate::TurnedAway),
-                Verdict::Tipped => {
-                    self.tipped.set(true);
-                    record.saw(Seen::Tipped { node: self.place });
-                    self.changed.notify_one();
-                    return Some(Fate::TurnedAway);
-                }
-            }
-            process.waiting.insert(attempt, tell);
-            process.wake.notify_one();
-        }
-        self.remember(request);
-        record.saw(Seen::Ran { attempt });
-        // Dropped here, its node has died with it.
-        let died = OnDrop::new(|| record.saw(Seen::Ended { attempt, fate: Fate::Died }));
-        tokio::select! {
-            biased;
-            done = done => {
-                done.ok()?;
-            }
-            _ = talk.end() => {
-                died.cancel();
-                // The work goes on; nobody waits for it.
-                record.saw(Seen::Closed { attempt });
-                record.saw(Seen::Ended { attempt, fate: Fate::Abandoned });
-                return None;
-            }
-        }
-        died.cancel();
-        let (error, spoil): (f64, f64) = {
-            let mut rng = self.rng.borrow_mut();
-            (rng.random(), rng.random())
-        };
-        let well: f64 = self.troubles.borrow().spoil.iter().map(|s| 1.0 - s).product();
-        Some(if spoil >= well {
-            Fate::Spoilt
-        } else if error < self.kind.error_rate {
-            self.errors.set(self.errors.get() + 1);
-            Fate::Error
-        } else {
-            Fate::Served
-        })
-    }
-
-    /// What remembers a keyed request's key: all nodes, those of a zone, or those of a cell.
-    fn group(&self, request: u32) -> Option<u64> {
-        let class = self.stage.class(request);
-        (class.effect == Effect::Keyed).then(|| match class.group {
-            Group::All => 0,
-            Group::Zone => 1 << 40 | self.machine.zone as u64,
-            Group::Cell => 2 << 40 | u64::from(self.machine.cell),
-        })
-    }
-
-    fn seen_before(&self, request: u32) -> bool {
-        let Some(group) = self.group(request) else { return false };
-        let keys = self.stage.keys.borrow();
-        keys.get(&(group, request)).is_some_and(|until| *until > Instant::now())
-    }
-
-    fn remember(&self, request: u32) {
-        if let Some(group) = self.group(request) {
-            let until = Instant::now() + self.stage.class(request).window;
-            self.stage.keys.borrow_mut().insert((group, request), until);
-        }
-    }
-
-    /// An answer that no one can read, of one of several kinds.
-    fn spoilt(&self) -> String {
-        let kind: u32 = self.rng.borrow_mut().random_range(0..4);
-        match kind {
-            0 => "\x07\x07 this is noise \x7f\x7f\r\n\r\n".to_string(),
-            1 => "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n".to_string(),
-            2 => "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand".to_string(),
-            _ => format!("HTTP/1.1 200 OK\r\n{}\r\n", "X-Noise: x\r\n".repeat(2000)),
-        }
-    }
-}
-
-/// Ends when the connection must: its process is gone, or it is back in reach.
-async fn over(life: &mut Watcher<Life>, process: u64, balancer: usize) {
-    let mut was_dark = false;
-    loop {
-        {
-            let now = life.see();
-            // A machine that says nothing sends no reset either.
-            let dark = now.silent || now.cut[balancer];
-            if now.process != process || (!dark && (!now.alive || was_dark)) {
-                return;
-            }
-            was_dark |= dark;
-        }
-        life.changed().await;
-    }
 }
 
-fn count(of: &mut u32, begins: bool) {
+/// One more or one less of what may come several times at once.
+pub(crate) fn count(of: &mut u32, begins: bool) {
     *of = if begins { *of + 1 } else { of.saturating_sub(1) };
 }
 
@@ -676,27 +417,3 @@
         all.remove(at);
     }
 }
-
-fn answer(status: u16, headers: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
-}
-
-/// Does something when it is dropped, unless that was called off.
-struct OnDrop<F: FnMut()>(Option<F>);
-
-impl<F: FnMut()> OnDrop<F> {
-    fn new(f: F) -> Self {
-        Self(Some(f))
-    }
-    fn cancel(mut self) {
-        self.0 = None;
-    }
-}
-
-impl<F: FnMut()> Drop for OnDrop<F> {
-    fn drop(&mut self) {
-        if let Some(f) = &mut self.0 {
-            f();
-        }
-    }
-}
