Open a door for operators, and share the clients' socket with the next process

Cause: the second process of an upgrade ended at once, its address being taken; nobody could take an upstream out by hand or send clients away.

Change: crates/operations holds what operators have said (cordons by name, quiesced, which processes live) and keeps it in a directory that both processes share; the gateway has a listener for calls, lays cordons over whatever is listed, closes clients' connections in order, and uses a listening socket that was handed down. A newer process accepts once it could serve well; an older one stops accepting at SIGTERM if that newer one is alive.

Found on the way: what the engine told the module of its own accord (operators' cordons, moves of the subset) passed for the first word of the subscription, so that discovery was never asked: 119 sends to upstreams that drained. Such changes are now of a kind of their own (ListKind::Aside). Ruled out: the lists' order, and the two processes' account of cordons; the requests went to upstreams that discovery, not an operator, had drained.

--- a/crates/ctl/src/in_process.rs
+++ b/crates/ctl/src/in_process.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hollowpaddle_gateway::{Config, serve};
+use hollowpaddle_gateway::{Config, Operating, serve};
 use hollowpaddle_rehearsal::bank::{Control, Launch, LaunchError, Launcher, Running};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
@@ -35,7 +35,7 @@
         };
         let task = spawn_local(async move {
             let tasks = LocalSet::new();
-            let serving = serve(read, network, listener, reloads, stopped);
+            let serving = serve(read, network, listener, Operating::default(), reloads, stopped);
             tasks.run_until(serving).await.is_ok()
         });
         let control = Gateway {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -39,6 +39,10 @@
 const BODY_LIMIT: usize = 64 << 10;
 /// How long connections are still accepted after SIGTERM: the front needs a moment to hear of it.
 const LINGER: Duration = Duration::from_millis(500);
+/// The front asks every 0.1 s whether clients may come, and sends them for 0.2 s more.
+const NOTICE: Duration = Duration::from_millis(600);
+/// How long what has come on a connection is given to be read before the connection closes.
+const CROSSING: Duration = Duration::from_millis(2);
 /// After the last deadline, time for the answers to be written.
 const FINISH: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
@@ -75,7 +79,14 @@
     connections: Rc<Connections>,
     open_ids: RefCell<FxHashSet<HeaderValue>>,
     bodies: Allowance,
+    /// The process ends.
     stopping: Cell<bool>,
+    /// Operators send clients away.
+    quiesced: Cell<bool>,
+    /// How often they have said so, or the contrary.
+    quiesce_serial: Cell<u64>,
+    /// Given to all connections that were there by then: close once nothing is open.
+    closing: RefCell<Rc<Word>>,
 }
 
 /// The id of a request that is open, for as long as it is.
@@ -105,18 +116,56 @@
             open_ids: RefCell::default(),
             bodies: Allowance::new(config.memory / BODIES_OF_MEMORY),
             stopping: Cell::new(false),
+            quiesced: Cell::new(false),
+            quiesce_serial: Cell::new(0),
+            closing: RefCell::default(),
         }
     }
 
-    /// Serves until `stop`, then finishes what was taken.
+    /// Sends clients away, or takes them again. Whoever has a request open has it answered, and those that idle are
+    /// closed once the front has had time to notice.
+    pub fn quiesce(self: &Rc<Self>, quiesced: bool) {
+        if self.quiesced.replace(quiesced) == quiesced {
+            return;
+        }
+        tracing::info!(quiesced, "by operators");
+        let serial = self.quiesce_serial.get() + 1;
+        self.quiesce_serial.set(serial);
+        if quiesced {
+            let this = self.clone();
+            tokio::task::spawn_local(async move {
+                sleep(NOTICE).await;
+                if this.quiesce_serial.get() == serial {
+                    this.close_idle();
+                }
+            });
+        }
+    }
+
+    /// Lets all connections go that are there now, each once nothing is open on it.
+    fn close_idle(&self) {
+        self.closing.take().give();
+    }
+
+    /// Whether clients should go elsewhere.
+    fn leaving(&self) -> bool {
+        self.stopping.get() || self.quiesced.get()
+    }
+
+    /// Serves from `opens` until `stop`, then finishes what was taken. Where another process has `succeeded` this one
+    /// by then, what has not been accepted is left to it.
     pub async fn serve(
         self: Rc<Self>,
         mut listener: Box<dyn Listener>,
+        opens: impl Future<Output = ()>,
         stop: impl Future<Output = ()>,
+        succeeded: impl Fn() -> bool,
     ) {
-        let closing = Rc::<Word>::default();
         {
-            let accepting = self.accept(&mut *listener, &closing);
+            let accepting = async {
+                opens.await;
+                self.accept(&mut *listener).await;
+            };
             tokio::pin!(accepting);
             tokio::select! {
                 biased;
@@ -126,10 +175,14 @@
             tracing::info!("stopping");
             // From here each answer asks its client to go elsewhere; new connections still find us.
             self.stopping.set(true);
-            let _ = timeout(LINGER, accepting).await;
+            if succeeded() {
+                tracing::info!("a newer process accepts from here on");
+            } else {
+                let _ = timeout(LINGER, accepting).await;
+            }
         }
         drop(listener);
-        closing.give();
+        self.close_idle();
         let finished = async {
             while self.connections.len() > 0 {
                 sleep(Duration::from_millis(5)).await;
@@ -139,7 +192,7 @@
         let _ = timeout(self.longest + FINISH, finished).await;
     }
 
-    async fn accept(self: &Rc<Self>, listener: &mut dyn Listener, closing: &Rc<Word>) {
+    async fn accept(self: &Rc<Self>, listener: &mut dyn Listener) {
         loop {
             // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
             if self.connections.full() {
@@ -152,7 +205,7 @@
                     let (io, stream, traffic) = Tapped::new(stream);
                     // It has its place before the next one is accepted.
                     let seat = self.connections.seat(traffic);
-                    let conversation = self.clone().converse(io, stream, seat, closing.clone());
+                    let conversation = self.clone().converse(io, stream, seat);
                     tokio::task::spawn_local(conversation);
                 }
                 // Guards against EMFILE and aborted connections: neither is a reason to end.
@@ -165,8 +218,9 @@
     }
 
     /// All requests of one connection.
-    async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat, closing: Rc<Word>) {
+    async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat) {
         let known = &*seat.connection;
+        let closing = self.closing.borrow().clone();
         let service = service_fn(|request| self.respond(request, &seat));
         let ended = {
             let connection = http1::Builder::new()
@@ -183,8 +237,14 @@
                     _ = &mut connection => break true,
                     () = known.outstays() => break false,
                     () = closing.given(), if !stopping => {
-                        connection.as_mut().graceful_shutdown();
                         stopping = true;
+                        // What has come and is not read yet was asked before the close.
+                        let crosses = !stream.borrow().is_quiet();
+                        let wait = if crosses { CROSSING } else { Duration::ZERO };
+                        if timeout(wait, &mut connection).await.is_ok() {
+                            break true;
+                        }
+                        connection.as_mut().graceful_shutdown();
                     }
                 }
             }
@@ -204,7 +264,7 @@
         seat.connection.asked();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
-            let ready = self.engine.ready() && !self.stopping.get();
+            let ready = self.engine.ready() && !self.leaving();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
             self.api(request, arrived).await
@@ -212,7 +272,7 @@
             bare(StatusCode::NOT_FOUND)
         };
         // What follows on the connection of a client whose request makes no sense makes none either.
-        if self.stopping.get() || answer.status().is_client_error() {
+        if self.leaving() || answer.status().is_client_error() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         seat.answered();
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -11,6 +11,8 @@
 /// Descriptors that are neither a client's nor an upstream's: standard streams, the event queue, the
 /// listener, the watch, signals.
 const RESERVED: usize = 24;
+/// And for the operators' door: the listener, its callers, the file that is read or written.
+const RESERVED_FOR_OPERATORS: usize = crate::operators::CALLERS + 4;
 /// Where the platform states no limit.
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
@@ -57,6 +59,8 @@
     #[serde(default)]
     discovery: String,
     #[serde(default)]
+    control: String,
+    #[serde(default)]
     seed: Option<String>,
     #[serde(default)]
     limits: FileLimits,
@@ -92,6 +96,8 @@
     pub listen: SocketAddr,
     /// Where the list of upstreams is told.
     pub discovery: SocketAddr,
+    /// Where operators call, if they can.
+    pub control: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// How many descriptors the process may hold.
@@ -151,6 +157,7 @@
         };
         let discovery = Some(file.discovery).filter(|d| !d.is_empty());
         let discovery = discovery.unwrap_or_else(|| say("LB_DISCOVERY", String::new()));
+        let control = Some(say("LB_CONTROL", file.control)).filter(|c| !c.is_empty());
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 4 * RESERVED {
             return Err(ConfigError::TooFewSockets(sockets));
@@ -160,6 +167,7 @@
             name: say("LB_NAME", file.name),
             listen: address("LB_LISTEN", say("LB_LISTEN", file.listen))?,
             discovery: address("LB_DISCOVERY", discovery)?,
+            control: control.map(|c| address("LB_CONTROL", c)).transpose()?,
             seed: hollowpaddle_policy::settings::key_hash(&seed),
             sockets,
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20,
@@ -177,7 +185,8 @@
     /// keep to their half, upstreams can never need more than theirs. Clients open a third of the
     /// descriptors at most for requests; a part of that is kept free for those that have something to ask.
     pub fn budget(&self) -> Budget {
-        let half = (self.sockets - RESERVED) / 2;
+        let door = if self.control.is_some() { RESERVED_FOR_OPERATORS } else { 0 };
+        let half = (self.sockets - RESERVED - door) / 2;
         Budget { clients: half, clients_at_ease: self.sockets / 4, upstreams: half }
     }
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,6 +73,16 @@
     },
     /// Discovery is at this address from now on.
     Moved(SocketAddr),
+    /// Whether a list has named this upstream.
+    HasNamed {
+        name: String,
+        reply: oneshot::Sender<bool>,
+    },
+    /// Out by operators' hands are these from now on, and no others.
+    Cordoned {
+        names: BTreeSet<String>,
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// A request as the module needs to know it.
@@ -98,9 +108,49 @@
     notes: mpsc::UnboundedSender<Note>,
     next: Cell<u64>,
     ready: Rc<Cell<bool>>,
+    heard: Rc<Cell<bool>>,
+}
+
+/// The engine as operators reach it.
+pub struct Door {
+    notes: mpsc::UnboundedSender<Note>,
+    ready: Rc<Cell<bool>>,
+    heard: Rc<Cell<bool>>,
+}
+
+impl Door {
+    /// Whether there is anywhere to send to.
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Whether discovery has told a list since the start.
+    pub fn heard(&self) -> bool {
+        self.heard.get()
+    }
+
+    /// Whether a list has named this upstream.
+    pub async fn has_named(&self, name: String) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::HasNamed { name, reply });
+        answer.await.unwrap_or(false)
+    }
+
+    /// Takes these out, and lets all others back; whether that is done.
+    /// Told at once; what is returned waits for it to be done.
+    pub fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool> + use<> {
+        let (done, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Cordoned { names, done });
+        async move { answer.await.is_ok() }
+    }
 }
 
 impl Handle {
+    /// The engine as operators reach it.
+    pub fn door(&self) -> Door {
+        Door { notes: self.notes.clone(), ready: self.ready.clone(), heard: self.heard.clone() }
+    }
+
     /// Whether there is anywhere to send to.
     pub fn ready(&self) -> bool {
         self.ready.get()
@@ -189,6 +239,7 @@
     /// Where the module is to know a part of the fleet only.
     subset: Option<Subsetting>,
     ready: Rc<Cell<bool>>,
+    heard: Rc<Cell<bool>>,
     discovery: SocketAddr,
     revision: u64,
     watch: Option<AbortOnDrop>,
@@ -233,7 +284,13 @@
         let settings = config.facts.settings();
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
-        let handle = Handle { notes: own_notes.clone(), next: Cell::new(0), ready: ready.clone() };
+        let heard = Rc::new(Cell::new(false));
+        let handle = Handle {
+            notes: own_notes.clone(),
+            next: Cell::new(0),
+            ready: ready.clone(),
+            heard: heard.clone(),
+        };
         let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
         let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
         let max_attempts = settings.limits.max_attempts;
@@ -253,6 +310,7 @@
             upstreams: Membership::new(config, grace.saturating_sub(DRAIN_MARGIN)),
             subset,
             ready,
+            heard,
             discovery: config.discovery,
             revision: 0,
             watch: None,
@@ -329,6 +387,14 @@
             Note::Watched { serial, news } if serial == self.watch_serial => self.heard(news),
             Note::Watched { .. } => {}
             Note::Moved(discovery) => self.moved(discovery),
+            Note::HasNamed { name, reply } => drop(reply.send(self.upstreams.has_named(&name))),
+            Note::Cordoned { names, done } => {
+                let list = self.upstreams.cordon(&names, Instant::now());
+                // Whoever is taken out is restarted: what idles there would end as a reset.
+                list.iter().for_each(|m| self.pool.close_idle(m.id));
+                self.listed_as(ListKind::Aside, list);
+                let _ = done.send(());
+            }
         }
     }
 
@@ -420,6 +486,7 @@
                 if std::mem::take(&mut self.watch_new) && list.complete {
                     self.upstreams.count_anew();
                 }
+                self.heard.set(true);
                 let whole = list.complete;
                 self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
             }
@@ -438,14 +505,19 @@
         let told = self.upstreams.update(list, kind, Instant::now());
         told.moved.iter().for_each(|id| self.pool.close_idle(*id));
         self.revision = self.upstreams.newest();
+        self.listed_as(told.kind, told.members);
+        self.upstreams.forget().iter().for_each(|id| self.pool.close_idle(*id));
+    }
+
+    /// Tells the module what the upstreams are now, or the part of them that it knows.
+    fn listed_as(&mut self, kind: ListKind, members: Vec<d::Member>) {
         self.ready.set(self.upstreams.any_open());
         let now = self.clock.now();
         let list = match &mut self.subset {
-            Some(subset) => subset.listed(now, told.kind, &told.members),
-            None => told.members,
+            Some(subset) => subset.listed(now, kind, &members),
+            None => members,
         };
-        self.tell(Event::Members { kind: told.kind, list: &list });
-        self.upstreams.forget().iter().for_each(|id| self.pool.close_idle(*id));
+        self.tell(Event::Members { kind, list: &list });
     }
 
     /// Lets what has left the subset go, and widens it while too much of it is out of reach.
@@ -457,7 +529,7 @@
         let mut list = subset.passed(now);
         list.extend(subset.seen(now, all, well));
         if !list.is_empty() {
-            self.tell(Event::Members { kind: ListKind::Update, list: &list });
+            self.tell(Event::Members { kind: ListKind::Aside, list: &list });
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 pub mod members;
 mod membership;
+mod operators;
 mod serve;
 mod stream;
 mod subsetting;
@@ -21,4 +22,5 @@
 
 pub use config::{Config, ConfigError};
 pub use engine::EngineError;
+pub use operators::Operating;
 pub use serve::{ServeError, serve};
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -2,7 +2,7 @@
 //! handles, and what each list changes is put into the module's words. Pure; it closes nothing and asks nobody.
 
 use std::cell::Cell;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +36,8 @@
     /// Whom an older list than this names, and nobody knows, is gone: a whole list left it out, or its name is
     /// forgotten.
     floor: u64,
+    /// By name, whom operators have taken out. It lies over all that lists say.
+    cordoned: BTreeSet<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
     grace: Duration,
@@ -43,6 +45,8 @@
 
 struct Known {
     target: Rc<Target>,
+    /// As last listed, whatever operators say.
+    listed: d::Member,
     gone: bool,
     /// Version of the list that the last word of it came with.
     revision: u64,
@@ -69,6 +73,7 @@
             gone: FxHashMap::default(),
             gone_order: VecDeque::new(),
             floor: 0,
+            cordoned: BTreeSet::new(),
             zones: config.facts.zones.clone(),
             kinds: config.facts.machine_types.clone(),
             grace,
@@ -98,6 +103,29 @@
         self.gone_order.clear();
     }
 
+    /// Whether a list has named this upstream. Of those that are gone only the last are remembered.
+    pub fn has_named(&self, name: &str) -> bool {
+        self.ids.contains_key(name) || self.gone.contains_key(name) || self.cordoned.contains(name)
+    }
+
+    /// From here on these are out by operators' hands, and no others: whom that changes, in the module's words.
+    pub fn cordon(&mut self, names: &BTreeSet<String>, now: Instant) -> Vec<d::Member> {
+        let before = std::mem::replace(&mut self.cordoned, names.clone());
+        let mut members = Vec::new();
+        for name in before.symmetric_difference(names) {
+            let known = self.ids.get(name).and_then(|id| self.targets.get(id));
+            let Some(known) = known.filter(|k| !k.gone) else { continue };
+            let member = laid_over(known.listed, names.contains(name));
+            let closed = &known.target.closed_from;
+            match member.status {
+                d::Status::Live => closed.set(None),
+                _ => closed.set(closed.get().or(Some(now + self.grace))),
+            }
+            members.push(member);
+        }
+        members
+    }
+
     /// Takes in a list.
     ///
     /// Failure: lists that came out of their order, a whole one as another replica still had it among them,
@@ -139,6 +167,8 @@
                 continue;
             };
             let id = self.id(entry, address);
+            let listed = self.member(id, entry);
+            let member = laid_over(listed, self.cordoned.contains(&entry.id));
             self.remember(&entry.id, entry.phase, list.revision);
             let Some(known) = self.targets.get_mut(&id) else { continue };
             if known.target.address.replace(address) != address {
@@ -146,11 +176,12 @@
             }
             known.gone = entry.phase == Phase::Deleted;
             known.revision = list.revision;
-            match entry.phase {
-                Phase::Serving => known.target.closed_from.set(None),
-                Phase::Draining | Phase::Deleted | Phase::Unknown => close(&known.target),
+            known.listed = listed;
+            match member.status {
+                d::Status::Live => known.target.closed_from.set(None),
+                d::Status::Draining | d::Status::Gone => close(&known.target),
             }
-            members.push(self.member(id, entry));
+            members.push(member);
         }
         self.targets.values().filter(|k| k.gone).for_each(|k| close(&k.target));
         Told { kind, members, moved }
@@ -207,7 +238,8 @@
         self.ids.insert(entry.id.clone(), id);
         let (address, closed_from) = (Cell::new(address), Cell::new(None));
         let target = Rc::new(Target { address, closed_from });
-        self.targets.insert(id, Known { target, gone: false, revision: 0 });
+        let listed = self.member(id, entry);
+        self.targets.insert(id, Known { target, listed, gone: false, revision: 0 });
         id
     }
 
@@ -233,6 +265,12 @@
     }
 }
 
+/// What the module is told of one that is listed like this: one that operators have taken out drains.
+fn laid_over(listed: d::Member, cordoned: bool) -> d::Member {
+    let out = cordoned && listed.status == d::Status::Live;
+    d::Member { status: if out { d::Status::Draining } else { listed.status }, ..listed }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -247,6 +285,7 @@
             name: String::new(),
             listen: nowhere,
             discovery: nowhere,
+            control: None,
             seed: 0,
             sockets: 256,
             memory: 32 << 20,
@@ -349,6 +388,41 @@
         assert_eq!(told(&mut of, &late, ListKind::Update).2, "a");
     }
 
+    #[test]
+    fn whom_operators_have_taken_out_no_list_brings_back() {
+        let mut of = membership();
+        let both = |revision| list(revision, &[("a", "SERVING"), ("b", "SERVING")]);
+        told(&mut of, &both(1), ListKind::Whole);
+        let names = |names: &[&str]| names.iter().map(|n| n.to_string()).collect::<BTreeSet<_>>();
+        let out = of.cordon(&names(&["a", "not-listed-yet"]), Instant::now());
+        assert_eq!(out.iter().map(|m| m.status).collect::<Vec<_>>(), [d::Status::Draining]);
+        assert!(
+            of.cordon(&names(&["a", "not-listed-yet"]), Instant::now()).is_empty(),
+            "said twice"
+        );
+        assert_eq!(told(&mut of, &both(2), ListKind::Whole).2, "b");
+        // Restarted meanwhile, gone and back, and one that comes later.
+        told(&mut of, &list(3, &[("a", "DELETED")]), ListKind::Update);
+        let back = list(4, &[("a", "SERVING"), ("not-listed-yet", "SERVING")]);
+        assert_eq!(told(&mut of, &back, ListKind::Update).2, "b");
+        assert!(of.has_named("a") && !of.has_named("c"));
+        let back = of.cordon(&names(&[]), Instant::now());
+        assert_eq!(back.iter().map(|m| m.status).collect::<Vec<_>>(), [d::Status::Live; 2]);
+        assert_eq!(told(&mut of, &list(5, &[]), ListKind::Update).2, "a b not-listed-yet");
+    }
+
+    #[test]
+    fn one_that_drains_by_the_list_drains_on_when_operators_let_it_back() {
+        let mut of = membership();
+        told(&mut of, &list(1, &[("a", "SERVING"), ("b", "SERVING")]), ListKind::Whole);
+        let a: BTreeSet<String> = ["a".to_string()].into();
+        of.cordon(&a, Instant::now());
+        told(&mut of, &list(2, &[("a", "DRAINING")]), ListKind::Update);
+        let back = of.cordon(&BTreeSet::new(), Instant::now());
+        assert_eq!(back[0].status, d::Status::Draining);
+        assert_eq!(told(&mut of, &list(3, &[]), ListKind::Update).2, "b");
+    }
+
     #[test]
     fn what_an_attempt_still_looks_at_is_kept_and_stays_closed() {
         let mut of = membership();
--- /dev/null
+++ b/crates/gateway/src/operators.rs
@@ -0,0 +1,282 @@
+//! The operators' door: reads their calls, keeps what they say where the next process finds it, and has the engine and
+//! the front do it. What a call means is in `hollowpaddle_operations`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowpaddle_net::{Listener, accept};
+use hollowpaddle_operations::call::BODY_LIMIT;
+use hollowpaddle_operations::{Call, Said, Started, Store, StoreError};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::clients::Front;
+use crate::engine::Door;
+use crate::http::{HEAD_LIMIT, HEAD_LINES};
+use crate::tasks::AbortOnDrop;
+
+/// So many callers at once; for one more, the one that has been longest about its call is closed.
+pub const CALLERS: usize = 16;
+/// A call must be read and answered in this time: whoever needs longer is not waited for.
+const CALL: Duration = Duration::from_secs(2);
+/// How often what stands is looked at: another process of this balancer may have been called. Without it an
+/// upstream that was taken out there would go on being sent to from here.
+const LOOK: Duration = Duration::from_millis(50);
+/// A change that another process is in the way of is tried again for so long. Callers wait 1 s.
+const BUSY: Duration = Duration::from_millis(700);
+const BUSY_STEP: Duration = Duration::from_millis(10);
+/// Without a word of discovery the list as last known has to do, after this time. Failure: a process that took over
+/// on an old list alone sent to upstreams that had gone.
+const FIRST_WORD: Duration = Duration::from_secs(1);
+/// Wait after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// What the program was given for its operators.
+#[derive(Default)]
+pub struct Operating {
+    /// Where they call; nowhere, if there is none.
+    pub listener: Option<Box<dyn Listener>>,
+    /// Where what they say is kept; without it, it ends with the process.
+    pub store: Option<Store>,
+}
+
+/// The door, and what stands behind it.
+pub struct Operators {
+    engine: Door,
+    front: Rc<Front>,
+    store: RefCell<Option<Store>>,
+    started: Option<Started>,
+    said: RefCell<Said>,
+    since: Instant,
+    /// Others can see that this process serves.
+    serving: Cell<bool>,
+}
+
+impl Operators {
+    /// Joins the processes of this balancer, and does what stands.
+    ///
+    /// # Errors
+    /// The store can't be used.
+    pub async fn join(
+        engine: Door,
+        front: Rc<Front>,
+        store: Option<Store>,
+    ) -> Result<Rc<Self>, StoreError> {
+        let mut store = store;
+        let (started, said) = match &mut store {
+            Some(store) => {
+                let (started, said) = patiently(|| store.start()).await?;
+                (Some(started), said)
+            }
+            None => (None, Said::default()),
+        };
+        let operators = Self {
+            engine,
+            front,
+            store: RefCell::new(store),
+            started,
+            said: RefCell::default(),
+            since: Instant::now(),
+            serving: Cell::new(false),
+        };
+        operators.apply(said).await;
+        Ok(Rc::new(operators))
+    }
+
+    /// Does what stands, whoever was called; and tells the others once this process can serve.
+    pub async fn follow(self: Rc<Self>) {
+        loop {
+            let news = self.store.borrow_mut().as_mut().map(Store::look).transpose();
+            match news {
+                Ok(Some(Some(said))) => drop(self.apply(said).await),
+                Ok(_) => {}
+                Err(cause) => tracing::error!(%cause, "what operators have said can't be read"),
+            }
+            if !self.serving.get() && self.could_serve() {
+                self.announce().await;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Takes calls.
+    pub async fn take_calls(self: Rc<Self>, mut listener: Box<dyn Listener>) {
+        let mut callers = VecDeque::<AbortOnDrop>::new();
+        loop {
+            match accept(&mut *listener).await {
+                Ok((stream, _)) => {
+                    callers.retain(|c| !c.0.is_finished());
+                    while callers.len() >= CALLERS {
+                        callers.pop_front();
+                    }
+                    let this = self.clone();
+                    callers.push_back(AbortOnDrop(tokio::task::spawn_local(async move {
+                        let service = service_fn(|request| this.answer(request));
+                        let call = http1::Builder::new()
+                            .keep_alive(false)
+                            .header_read_timeout(None)
+                            .max_buf_size(HEAD_LIMIT)
+                            .max_headers(HEAD_LINES)
+                            .serve_connection(TokioIo::new(stream), service);
+                        let _ = timeout(CALL, call).await;
+                    })));
+                }
+                Err(cause) => {
+                    tracing::warn!(%cause, "accept at the operators' door");
+                    sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    /// Ends once clients may be accepted: at once, unless an older process of this balancer still serves them and this
+    /// one could not do so well yet.
+    pub async fn opens(&self) {
+        let older = self.others(|said, me| said.before(me).collect());
+        if older {
+            tracing::info!("an older process of this balancer serves until this one can");
+        }
+        while older && !self.serving.get() {
+            sleep(BUSY_STEP).await;
+        }
+    }
+
+    /// Whether a process that was started later serves in this one's place.
+    pub fn succeeded(&self) -> bool {
+        self.others(|said, me| said.after(me).collect())
+    }
+
+    /// Whether one of these other processes is alive, as things stand now.
+    fn others(&self, which: impl Fn(&Said, u64) -> Vec<u64>) -> bool {
+        let (mut store, Some(me)) = (self.store.borrow_mut(), &self.started) else { return false };
+        let Some(store) = store.as_mut() else { return false };
+        // Not by `look`: what is news to it is yet to be done.
+        let stands = store.read().unwrap_or_else(|_| self.said.borrow().clone());
+        which(&stands, me.number).into_iter().any(|n| store.alive(n))
+    }
+
+    fn could_serve(&self) -> bool {
+        self.engine.ready() && (self.engine.heard() || self.since.elapsed() >= FIRST_WORD)
+    }
+
+    async fn announce(&self) {
+        if let Some(me) = &self.started {
+            let number = me.number;
+            if let Err(cause) = self.change(move |said| said.serves(number)).await {
+                tracing::error!(%cause, "an older process can't be told that this one serves");
+            }
+        }
+        self.serving.set(true);
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
+            return Ok(word(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long or ends early"));
+        };
+        let call = Call::read(head.method.as_str(), head.uri.path(), &body.to_bytes());
+        let answer = match call {
+            Ok(Call::Health) => self.health(),
+            Ok(call) => self.grant(call).await,
+            Err(cause) => {
+                let status = StatusCode::from_u16(cause.status());
+                word(status.unwrap_or(StatusCode::BAD_REQUEST), &cause.to_string())
+            }
+        };
+        Ok(answer)
+    }
+
+    fn health(&self) -> Response<Full<Bytes>> {
+        // The word of the store comes before the word of the engine: an older process must find this one when
+        // it is told to end.
+        if self.serving.get() && self.engine.ready() {
+            word(StatusCode::OK, "")
+        } else {
+            word(StatusCode::SERVICE_UNAVAILABLE, "no upstream to send to yet")
+        }
+    }
+
+    async fn grant(&self, call: Call) -> Response<Full<Bytes>> {
+        tracing::info!(?call, "an operator calls");
+        if let Call::Cordon(name) | Call::Uncordon(name) = &call
+            && !self.engine.has_named(name.clone()).await
+        {
+            return word(StatusCode::NOT_FOUND, "no list has named this upstream");
+        }
+        let change = |said: &mut Said| match &call {
+            Call::Cordon(name) => drop(said.cordoned.insert(name.clone())),
+            Call::Uncordon(name) => drop(said.cordoned.remove(name)),
+            Call::Quiesce => said.quiesced = true,
+            Call::Resume => said.quiesced = false,
+            Call::Health => {}
+        };
+        match self.change(change).await {
+            Ok(true) => word(StatusCode::OK, ""),
+            Ok(false) => word(StatusCode::SERVICE_UNAVAILABLE, "the engine ended"),
+            Err(cause) => {
+                tracing::error!(%cause, "an operator's word can't be kept");
+                word(StatusCode::SERVICE_UNAVAILABLE, &cause.to_string())
+            }
+        }
+    }
+
+    /// Changes what stands, keeps it and does it; whether the engine has it.
+    async fn change(&self, change: impl Fn(&mut Said)) -> Result<bool, StoreError> {
+        let said = patiently(|| match &mut *self.store.borrow_mut() {
+            Some(store) => store.change(&change),
+            None => {
+                let mut said = self.said.borrow().clone();
+                change(&mut said);
+                Ok(said)
+            }
+        });
+        let said = said.await?;
+        Ok(self.apply(said).await)
+    }
+
+    /// Does what stands. Nothing is waited for before the engine is told, so that it is told in the order in which
+    /// the store changed.
+    async fn apply(&self, said: Said) -> bool {
+        self.front.quiesce(said.quiesced);
+        let cordoned = self.engine.cordon(said.cordoned.clone());
+        *self.said.borrow_mut() = said;
+        cordoned.await
+    }
+}
+
+/// Tries until no other process is in the way.
+async fn patiently<T>(mut change: impl FnMut() -> Result<T, StoreError>) -> Result<T, StoreError> {
+    let until = Instant::now() + BUSY;
+    loop {
+        match change() {
+            Err(cause) if cause.is_busy() && Instant::now() < until => sleep(BUSY_STEP).await,
+            done => return done,
+        }
+    }
+}
+
+/// The answer to a call: yes where there is nothing to say against it.
+fn word(status: StatusCode, against: &str) -> Response<Full<Bytes>> {
+    let text = if against.is_empty() {
+        serde_json::json!({"ok": true})
+    } else {
+        serde_json::json!({"ok": false, "error": against})
+    };
+    let mut answer = Response::new(Full::from(format!("{text}\n")));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,11 +5,13 @@
 use std::rc::Rc;
 
 use hollowpaddle_net::{Listener, Network};
+use hollowpaddle_operations::StoreError;
 use tokio::sync::mpsc;
 
 use crate::clients::Front;
 use crate::config::Config;
 use crate::engine::{Engine, EngineError};
+use crate::operators::{Operating, Operators};
 use crate::tasks::AbortOnDrop;
 use crate::upstreams::Pool;
 
@@ -19,17 +21,22 @@
     /// The configuration can't be used.
     #[error(transparent)]
     Engine(#[from] EngineError),
+    /// What operators have said can't be kept.
+    #[error("what operators say: {0}")]
+    Operators(#[from] StoreError),
     /// Without the engine nothing is ever answered well again; a restart is better.
     #[error("the engine ended")]
     EngineEnded,
 }
 
-/// Serves clients on `listener`, and reaches all else by `network`, until `stop`, then finishes what was taken. Each configuration that comes on
-/// `reloads` moves the watch to the discovery it names. Must run inside a `LocalSet`.
+/// Serves clients on `listener`, and reaches all else by `network`, until `stop`, then finishes what was taken. Each
+/// configuration that comes on `reloads` moves the watch to the discovery it names. Operators come by `operating`.
+/// Must run inside a `LocalSet`.
 pub async fn serve(
     config: Config,
     network: Rc<dyn Network>,
     listener: Box<dyn Listener>,
+    operating: Operating,
     mut reloads: mpsc::UnboundedReceiver<Config>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
@@ -43,8 +50,14 @@
             reload(new.discovery);
         }
     }));
+    let door = handle.door();
     let front = Rc::new(Front::new(&config, handle, &budget));
-    let serve = front.serve(listener, stop);
+    let operators = Operators::join(door, front.clone(), operating.store).await?;
+    let _follows = AbortOnDrop(tokio::task::spawn_local(operators.clone().follow()));
+    let _calls = operating.listener.map(|listener| {
+        AbortOnDrop(tokio::task::spawn_local(operators.clone().take_calls(listener)))
+    });
+    let serve = front.serve(listener, operators.opens(), stop, || operators.succeeded());
     tokio::select! {
         biased;
         () = serve => Ok(()),
--- a/crates/gateway/src/subsetting.rs
+++ b/crates/gateway/src/subsetting.rs
@@ -31,7 +31,7 @@
         if kind == ListKind::Unavailable {
             return Vec::new();
         }
-        if kind != ListKind::Update {
+        if !kind.is_part() {
             self.all.clear();
         }
         for m in members {
@@ -44,7 +44,7 @@
         let moved = self.subset.listed(now.0, live);
         let mut told: Vec<Member> = members.to_vec();
         told.retain(|m| self.subset.holds(cell(m)) || self.shown.contains(&m.id));
-        if kind == ListKind::Update {
+        if kind.is_part() {
             if moved {
                 told.extend(self.moved());
             }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Timers are not part of it: everything waits by the runtime's clock (`tokio::time`), which a simulation
 //! pauses.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod tcp;
 
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -3,6 +3,7 @@
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::os::fd::FromRawFd;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -38,15 +39,7 @@
         socket.set_nonblocking(true)?;
         socket.bind(&at.into())?;
         socket.listen(BACKLOG)?;
-        let listener = TcpListener::from_std(socket.into())?;
-        let address = listener.local_addr()?;
-        Ok(Box::new(Listening {
-            listener,
-            address,
-            fillers: Vec::new(),
-            hushed: false,
-            waits: None,
-        }))
+        Listening::on(socket)
     }
 
     fn unix_now(&self) -> Duration {
@@ -54,6 +47,32 @@
     }
 }
 
+impl Tcp {
+    /// Listens on a socket that this process inherited as this descriptor, already bound and listening. The
+    /// process takes it over: it is to be asked for once, before anything else could have used the number.
+    ///
+    /// # Errors
+    /// Nothing is open there, or no listening socket.
+    pub fn inherited(descriptor: i32) -> io::Result<Box<dyn Listener>> {
+        let other = || io::Error::new(ErrorKind::InvalidInput, "no listening socket");
+        let link = std::fs::read_link(format!("/proc/self/fd/{descriptor}"))?;
+        if !link.to_string_lossy().starts_with("socket:") {
+            return Err(other());
+        }
+        // SAFETY: it is open, as the line above shows, and nothing else in this process owns it: it was there
+        // before the process began to run.
+        #[allow(unsafe_code)]
+        let socket = unsafe { std::os::fd::OwnedFd::from_raw_fd(descriptor) };
+        let socket = socket2::Socket::from(socket);
+        if !socket.is_listener()? {
+            return Err(other());
+        }
+        socket.set_cloexec(true)?;
+        socket.set_nonblocking(true)?;
+        Listening::on(socket)
+    }
+}
+
 struct Connection(TcpStream);
 
 impl Stream for Connection {
@@ -116,6 +135,15 @@
     waits: Option<Waker>,
 }
 
+impl Listening {
+    fn on(socket: socket2::Socket) -> io::Result<Box<dyn Listener>> {
+        let listener = TcpListener::from_std(socket.into())?;
+        let address = listener.local_addr()?;
+        let (fillers, hushed, waits) = (Vec::new(), false, None);
+        Ok(Box::new(Self { listener, address, fillers, hushed, waits }))
+    }
+}
+
 /// Linux takes one connection more than the backlog says; a few more tries cost nothing.
 const FILLERS: usize = 4;
 
@@ -187,6 +215,22 @@
         assert!(!here.is_quiet());
     }
 
+    #[tokio::test]
+    async fn an_inherited_socket_must_listen() {
+        use std::os::fd::IntoRawFd;
+        let listener = std::net::TcpListener::bind(any()).expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let stream = std::net::TcpStream::connect(address).expect("it listens");
+        assert!(Tcp::inherited(stream.into_raw_fd()).is_err(), "a connection");
+        let file = std::fs::File::open("/dev/null").expect("there");
+        let file = file.into_raw_fd();
+        assert!(Tcp::inherited(file).is_err(), "a file");
+        assert!(Tcp::inherited(1 << 20).is_err(), "nothing");
+        let mut inherited = Tcp::inherited(listener.into_raw_fd()).expect("a listening socket");
+        assert_eq!(inherited.local_addr(), address);
+        accept(&mut *inherited).await.expect("the one that waits");
+    }
+
     #[tokio::test]
     async fn a_hushed_listener_neither_takes_nor_refuses_and_comes_back() {
         let mut listener = Tcp.listen(any()).expect("a port");
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -381,6 +381,16 @@
     Restored,
     /// A list call failed or the subscription broke.
     Unavailable,
+    /// Changed entries that the list did not tell: operators', or the caller's own. They say nothing of the
+    /// subscription. Failure: told as an update, they passed for its first word, and it was never asked for.
+    Aside,
+}
+
+impl ListKind {
+    /// Whether whoever is left out stays as they were.
+    pub fn is_part(self) -> bool {
+        matches!(self, Self::Update | Self::Aside)
+    }
 }
 
 /// A request that has arrived.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1222,7 +1222,7 @@
                 self.ask.next = now.plus(self.jitter(wait));
                 return;
             }
-            ListKind::Restored => {}
+            ListKind::Restored | ListKind::Aside => {}
             ListKind::Update | ListKind::Whole => {
                 self.ask.subscribed = true;
                 self.ask.failures = 0;
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -317,7 +317,7 @@
     pub(crate) fn list(&mut self, now: Time, kind: ListKind, list: &[Member]) -> Vec<Change> {
         let mut changed = Vec::new();
         let mut moved = (Vec::new(), Vec::new());
-        if kind != ListKind::Update {
+        if !kind.is_part() {
             let listed: FxHashSet<ServerId> = list.iter().map(|m| m.id).collect();
             let left = self.by_id.iter().filter(|(id, _)| !listed.contains(id));
             let mut left: Vec<usize> = left.map(|(_, i)| *i).collect();
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -570,3 +570,19 @@
     let (own, other) = (sends(0), sends(16));
     assert!(own > 20 && other * 4 < own, "{own} to one's own, {other} to another's");
 }
+
+#[test]
+fn what_was_not_told_by_the_list_does_not_end_the_asking_for_it() {
+    // Failure: operators' changes passed for the first word of the subscription, and drains went unheard.
+    for (kind, asks) in [(ListKind::Aside, true), (ListKind::Update, false)] {
+        let mut w = World::new(Settings { must_ask: true, ..settings() });
+        let all = [member(0, 0), member(1, 0)];
+        w.list(ListKind::Restored, &all);
+        w.list(kind, &[Member { status: Status::Draining, ..all[1] }]);
+        w.log.clear();
+        w.pass(Span(30_000 * MS));
+        assert_eq!(w.log.contains(&Action::Subscribe), asks, "{kind:?}");
+        w.request(1, 0);
+        assert_eq!(w.out(1), Some(ServerId(0)), "whoever is left out stays, and 1 drains");
+    }
+}
--- a/crates/policy/tests/scanning/policy.rs
+++ b/crates/policy/tests/scanning/policy.rs
@@ -1236,7 +1236,7 @@
                 self.ask.next = now.plus(self.jitter(wait));
                 return;
             }
-            ListKind::Restored => {}
+            ListKind::Restored | ListKind::Aside => {}
             ListKind::Update | ListKind::Whole => {
                 self.ask.subscribed = true;
                 self.ask.failures = 0;
@@ -1244,7 +1244,7 @@
         }
         let before: Vec<Status> = self.servers.iter().map(|s| s.status).collect();
         self.listed.clear();
-        if kind != ListKind::Update {
+        if !kind.is_part() {
             self.listed = self.servers.iter().map(|s| (s.id, s.status)).collect();
             self.servers.iter_mut().for_each(|s| s.status = Status::Gone);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,14 +5,18 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use hollowpaddle_gateway::{Config, serve};
-use hollowpaddle_net::{Network, Tcp};
+use hollowpaddle_gateway::{Config, Operating, serve};
+use hollowpaddle_net::{Listener, Network, Tcp};
+use hollowpaddle_operations::Store;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-/// Runs the daemon to its end. It is told by `LB_NAME`, `LB_LISTEN`, `LB_DISCOVERY` and `LB_CONFIG`, and logs
-/// to standard error.
+/// Names the descriptor of a clients' listener that is handed down, so that the next process can share it.
+const PASSED: &str = "LB_PASSED_SOCKET";
+
+/// Runs the daemon to its end. It is told by `LB_NAME`, `LB_LISTEN`, `LB_DISCOVERY` and `LB_CONFIG`, and where
+/// there are such by `LB_CONTROL` and `LB_PASSED_SOCKET`; it logs to standard error.
 pub fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     match start() {
@@ -35,8 +39,8 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let config = Config::read().map_err(|e| e.to_string())?;
-    let listener = Tcp.listen(config.listen);
-    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let listener = listen(&config)?;
+    let operating = operating(&config)?;
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr();
     let (reload, reloads) = mpsc::unbounded_channel();
@@ -53,5 +57,29 @@
     let stop = async move {
         term.recv().await;
     };
-    serve(config, Rc::new(Tcp), listener, reloads, stop).await.map_err(|e| e.to_string())
+    let served = serve(config, Rc::new(Tcp), listener, operating, reloads, stop).await;
+    served.map_err(|e| e.to_string())
+}
+
+/// The clients' listener: the one that the platform hands down to each process, or one of our own.
+fn listen(config: &Config) -> Result<Box<dyn Listener>, String> {
+    if let Some(passed) = std::env::var(PASSED).ok().filter(|p| !p.is_empty()) {
+        let descriptor: i32 =
+            passed.parse().map_err(|_| format!("{PASSED} is not a descriptor: {passed:?}"))?;
+        return Tcp::inherited(descriptor).map_err(|e| format!("{PASSED}={descriptor}: {e}"));
+    }
+    Tcp.listen(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))
+}
+
+/// The operators' door, and a directory under `$TMPDIR` for what they say. Several balancers may share that.
+fn operating(config: &Config) -> Result<Operating, String> {
+    let Some(control) = config.control else { return Ok(Operating::default()) };
+    let listener = Tcp.listen(control).map_err(|e| format!("listen on {control}: {e}"))?;
+    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+    let name: String = config.name.chars().map(plain).collect();
+    let store = std::env::var_os("TMPDIR")
+        .map(|dir| Store::open(std::path::Path::new(&dir).join(format!("hollowpaddle-{name}"))));
+    let store = store.transpose().map_err(|e| e.to_string())?;
+    tracing::info!("operators at {}", listener.local_addr());
+    Ok(Operating { listener: Some(listener), store })
 }
