Pass long answers on as they come, read chunked requests, time them from the last byte

Change: the one transfer coding is chunked, alone; the head as it came is kept beside hyper's, which hides a Content-Length there, and who sends both is still refused. Bodies up to 2 MiB are taken at 60 KiB/s or faster within memory, and time counts from the last byte. Of an answer over 64 KiB the first bytes end the attempt, the rest flows through with no more in memory than the connections' buffers; a broken one can be told by its client; a planned end waits for those that flow. A target may be in absolute form.

Ways not taken: a parser of our own in place of hyper (all of HTTP/1.1 for one header), and forwarding the chunked coding (a retry needs the body anyway).

Loopback tests of the operators' calls, of a replaced process and of the forms.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -11,8 +11,7 @@
 use hollowpaddle_net::{Listener, accept};
 use hollowpaddle_policy::interface::{Class, Effect, Span};
 use hollowpaddle_policy::settings::{Facts, key_hash};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
     RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -20,23 +19,25 @@
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashSet;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::bodies::Allowance;
+use crate::bodies::{Allowance, NotTaken, Pace, take};
 use crate::config::{Budget, Config};
 use crate::connections::{Connections, Seat};
 use crate::engine::{Arrival, Handle, Reply};
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
-use crate::stream::{Shared, Tapped};
+use crate::relay::AnswerBody;
+use crate::stream::{RawHead, Shared, Tapped};
 use crate::tasks::Word;
 use crate::upstreams::Forward;
 
-/// The largest body that a client may send.
-const BODY_LIMIT: usize = 64 << 10;
+/// The largest body that a client may send, in bytes, while it is held here for as long as its request: one that is
+/// passed on while it comes could not be sent again.
+const BODY_LIMIT: usize = 2 << 20;
 /// How long connections are still accepted after SIGTERM: the front needs a moment to hear of it.
 const LINGER: Duration = Duration::from_millis(500);
 /// The front asks every 0.1 s whether clients may come, and sends them for 0.2 s more.
@@ -45,12 +46,16 @@
 const CROSSING: Duration = Duration::from_millis(2);
 /// After the last deadline, time for the answers to be written.
 const FINISH: Duration = Duration::from_millis(100);
+/// Long answers that are being passed on at the end are waited for so long more.
+const LAST_ANSWERS: Duration = Duration::from_secs(30);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// An identifier of a request may be this long.
 const ID_LIMIT: usize = 128;
-/// A body must be whole this long after its head: clients here send both at once.
-const BODY_TIME: Duration = Duration::from_millis(750);
+/// How a body must come: within 2 s, or as slowly as 64 kB/s. Failure: some clients take 1 s over 1 KB, and were cut
+/// off; one that stops halfway is owed a word within 3 s.
+const BODY_GRACE: Duration = Duration::from_millis(2000);
+const BODY_A_BYTE: Duration = Duration::from_nanos(1_000_000_000 / (60 << 10));
 /// What a client still sends behind its last answer is read for so long, and up to so much.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 4 << 20;
@@ -68,7 +73,7 @@
     "content-length",
 ];
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<AnswerBody>;
 
 pub struct Front {
     engine: Handle,
@@ -183,13 +188,21 @@
         }
         drop(listener);
         self.close_idle();
-        let finished = async {
+        let finished = async || {
             while self.connections.len() > 0 {
                 sleep(Duration::from_millis(5)).await;
             }
         };
         // Counted from the last accept, not from the signal: what came last has its whole deadline.
-        let _ = timeout(self.longest + FINISH, finished).await;
+        if timeout(self.longest + FINISH, finished()).await.is_err() {
+            // What is left and not long is lost; a long answer that its client reads is not, by us.
+            let passed = async {
+                while self.connections.any_answering() {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            };
+            let _ = timeout(LAST_ANSWERS, passed).await;
+        }
     }
 
     async fn accept(self: &Rc<Self>, listener: &mut dyn Listener) {
@@ -219,9 +232,11 @@
 
     /// All requests of one connection.
     async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat) {
-        let known = &*seat.connection;
+        let known = seat.connection();
+        let raw = RawHead::default();
+        let io = io.keeping(&raw);
         let closing = self.closing.borrow().clone();
-        let service = service_fn(|request| self.respond(request, &seat));
+        let service = service_fn(|request| self.respond(request, &seat, &raw));
         let ended = {
             let connection = http1::Builder::new()
                 .header_read_timeout(None) // Each connection's own limits hold.
@@ -259,15 +274,20 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, seat: &Seat) -> Result<Answer, Infallible> {
-        let arrived = Instant::now();
-        seat.connection.asked();
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        seat: &Seat,
+        raw: &RawHead,
+    ) -> Result<Answer, Infallible> {
+        raw.stop();
+        seat.connection().asked();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && !self.leaving();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
-            self.api(request, arrived).await
+            self.api(request, raw).await
         } else {
             bare(StatusCode::NOT_FOUND)
         };
@@ -275,28 +295,30 @@
         if self.leaving() || answer.status().is_client_error() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        seat.answered();
+        // A request that follows begins behind this one's last byte, which has come: else the connection closes.
+        raw.next();
+        match answer.body_mut() {
+            AnswerBody::Whole(_) => seat.answered(),
+            AnswerBody::Passing(passing) => passing.hold(seat.answering()),
+        }
         Ok(answer)
     }
 
-    async fn api(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
+    async fn api(&self, request: Request<Incoming>, raw: &RawHead) -> Answer {
         let (head, body) = request.into_parts();
-        if let Err(what) = framed(&head) {
+        if let Err(what) = framed(&head, raw) {
             return malformed(what);
         }
-        // With no transfer coding the length is known ahead.
-        let length = body.size_hint().exact().unwrap_or(u64::MAX);
-        if length > BODY_LIMIT as u64 {
-            return bare(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let Some(_room) = self.bodies.room(length as usize) else {
-            return bare(StatusCode::SERVICE_UNAVAILABLE);
-        };
-        let body = match timeout(BODY_TIME, body.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return malformed("body"),
-            Err(_) => return bare(StatusCode::REQUEST_TIMEOUT),
+        let pace = Pace { longest: BODY_LIMIT, grace: BODY_GRACE, a_byte: BODY_A_BYTE };
+        let body = match take(body, pace, &self.bodies).await {
+            Ok(body) => body,
+            Err(NotTaken::Malformed) => return malformed("body"),
+            Err(NotTaken::TooLong) => return bare(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(NotTaken::TooSlow) => return bare(StatusCode::REQUEST_TIMEOUT),
+            Err(NotTaken::NoRoom) => return bare(StatusCode::SERVICE_UNAVAILABLE),
         };
+        // A request's time counts from its last byte (PROTOCOL, 'Figures').
+        let arrived = Instant::now();
         // Two requests of one id could not be told apart at an upstream.
         let Some(_open) = head.headers.get("x-request-id").and_then(|id| self.open_id(id)) else {
             return bare(StatusCode::CONFLICT);
@@ -307,7 +329,7 @@
         };
         let forward = Forward {
             method: head.method,
-            uri: head.uri,
+            uri: origin_form(head.uri),
             headers: onward(head.headers, body.len()),
             body,
         };
@@ -319,7 +341,7 @@
                     head.headers.remove(internal);
                 }
                 head.headers.remove(CONTENT_LENGTH);
-                let mut answer = Response::new(Full::new(body));
+                let mut answer = Response::new(body);
                 *answer.headers_mut() = head.headers;
                 answer
             }
@@ -383,13 +405,21 @@
 }
 
 /// Whether the request is framed and named such that nobody behind can read it in another way; the error
-/// names what is wrong. Failure: hyper drops a `Content-Length` beside a `Transfer-Encoding`, so an upstream
-/// could have found a second request in the body. Clients here need no transfer codings.
-fn framed(head: &Parts) -> Result<(), &'static str> {
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err("Transfer-Encoding");
+/// names what is wrong. The one transfer coding is `chunked`, alone (RFC 9112, 6.1 and 7.1).
+fn framed(head: &Parts, raw: &RawHead) -> Result<(), &'static str> {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    if let Some(coding) = codings.next() {
+        let id = head.headers.get("x-request-id").map_or(&[][..], |v| v.as_bytes());
+        let target = head.uri.to_string();
+        let chunked =
+            coding.as_bytes().eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
+        if !chunked || !raw.is_plain(head.method.as_str(), &target, id) {
+            return Err("Transfer-Encoding");
+        }
     }
-    if head.uri.authority().is_some() {
+    // A target in absolute form names the host once more (RFC 9112, 3.2.2).
+    let host = head.headers.get(HOST).map_or(&[][..], |v| v.as_bytes());
+    if head.uri.authority().is_some_and(|a| a.as_str().as_bytes() != host) {
         return Err("target");
     }
     for name in ONCE {
@@ -405,6 +435,12 @@
     if (1..=ID_LIMIT).contains(&id) { Ok(()) } else { Err("X-Request-Id") }
 }
 
+/// The target as an upstream is to see it (RFC 9112, 3.2.1).
+fn origin_form(target: Uri) -> Uri {
+    let path = target.path_and_query().cloned();
+    path.map_or(target, Uri::from)
+}
+
 /// Reads what still comes until the client closes too. Failure: closed with something unread, the kernel
 /// resets the connection, and the answer may be lost on its way.
 async fn read_out(stream: &Shared) {
@@ -424,13 +460,13 @@
 }
 
 fn bare(status: StatusCode) -> Answer {
-    let mut answer = Response::new(Full::default());
+    let mut answer = Response::new(Bytes::new().into());
     *answer.status_mut() = status;
     answer
 }
 
 fn malformed(what: &str) -> Answer {
-    let mut answer = Response::new(Full::from(format!("malformed: {what}\n")));
+    let mut answer = Response::new(Bytes::from(format!("malformed: {what}\n")).into());
     *answer.status_mut() = StatusCode::BAD_REQUEST;
     answer
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -16,13 +16,15 @@
 
 /// A head must be whole this long after its connection came up, or after its first byte on a kept one. With
 /// a body's own limit it stays under the 3 s within which whoever sends no whole request is owed a word.
-const HEAD: Duration = Duration::from_millis(2000);
+const HEAD: Duration = Duration::from_millis(2400);
 /// A kept connection is closed once it has idled for so long.
 const IDLE: Duration = Duration::from_secs(4);
 /// One that served a client within this time stays, as long as they are not many.
 const KEPT: Duration = Duration::from_secs(2);
 /// One that says nothing for this long does not come with a request: those send it right away.
 const SILENT: Duration = Duration::from_millis(250);
+/// A client that takes nothing of a long answer for so long has gone; it would hold an upstream's connection too.
+const STALLED: Duration = Duration::from_secs(10);
 
 /// What is known of one connection.
 pub struct Connection {
@@ -37,6 +39,8 @@
     New { since: Instant },
     /// A request is open.
     Asked,
+    /// A long answer is being passed on; so many bytes were written at that time.
+    Answering { since: Instant, written: u64 },
     /// Its last answer was given, with so many bytes read by then; and when the next head began.
     Kept { since: Instant, read: u64, next: Option<Instant> },
     /// Only read to its end, so that the last answer is not lost to a reset.
@@ -56,7 +60,7 @@
 
     /// Whether a request was asked on it that is open, or may be followed by another.
     fn in_use(&self) -> bool {
-        matches!(self.state.get(), State::Asked | State::Kept { .. })
+        matches!(self.state.get(), State::Asked | State::Answering { .. } | State::Kept { .. })
     }
 
     /// When it has to go, as things stand.
@@ -64,6 +68,15 @@
         match self.state.get() {
             State::New { since } => Some(since + HEAD),
             State::Asked | State::Closing { .. } | State::Evicted => None,
+            State::Answering { since, written } => {
+                let now_written = self.traffic.written();
+                if now_written == written {
+                    return Some(since + STALLED);
+                }
+                let since = Instant::now();
+                self.state.set(State::Answering { since, written: now_written });
+                Some(since + STALLED)
+            }
             State::Kept { since, read, next } => {
                 if self.traffic.read() == read {
                     return Some(since + IDLE);
@@ -88,7 +101,7 @@
             State::New { since } | State::Closing { since } => (false, since, SILENT),
             State::Kept { next: Some(next), .. } => (false, next, SILENT),
             State::Kept { .. } => (true, self.kept_since()?, KEPT),
-            State::Asked | State::Evicted => return None,
+            State::Asked | State::Answering { .. } | State::Evicted => return None,
         };
         (now >= since + after).then_some((served, since))
     }
@@ -144,16 +157,49 @@
 }
 
 /// A connection's place among them, for as long as it is held.
-pub struct Seat {
-    pub connection: Rc<Connection>,
+pub struct Seat(Place);
+
+#[derive(Clone)]
+struct Place {
+    connection: Rc<Connection>,
     all: Rc<Connections>,
     id: u64,
 }
 
+/// An answer that is being passed on. Its end is the end of the request.
+pub struct Answering(Place);
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        if matches!(self.0.connection.state.get(), State::Answering { .. }) {
+            self.0.answered();
+        }
+    }
+}
+
 impl Seat {
+    pub fn connection(&self) -> &Connection {
+        &self.0.connection
+    }
+
+    /// Notes that its request was answered.
+    pub fn answered(&self) {
+        self.0.answered();
+    }
+
+    /// Notes that its answer has begun; it lasts as long as what is returned. Failure: with its request taken for
+    /// answered, a long answer was cut as an idle connection is.
+    pub fn answering(&self) -> Answering {
+        let (since, written) = (Instant::now(), self.0.connection.traffic.written());
+        self.0.connection.state.set(State::Answering { since, written });
+        Answering(self.0.clone())
+    }
+}
+
+impl Place {
     /// Notes that its request was answered, and lets idle ones go if there are many. Failure: clients that
     /// ask once and keep their connection soon had all that they may open, and then none to ask on.
-    pub fn answered(&self) {
+    fn answered(&self) {
         let (since, read) = (Instant::now(), self.connection.traffic.read());
         self.connection.state.set(State::Kept { since, read, next: None });
         let open = self.all.open.borrow();
@@ -172,7 +218,7 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.all.open.borrow_mut().remove(&self.id);
+        self.0.all.open.borrow_mut().remove(&self.0.id);
     }
 }
 
@@ -185,6 +231,12 @@
         self.open.borrow().len()
     }
 
+    /// Whether a long answer is being passed on to anybody.
+    pub fn any_answering(&self) -> bool {
+        let answering = |c: &Rc<Connection>| matches!(c.state.get(), State::Answering { .. });
+        self.open.borrow().values().any(answering)
+    }
+
     pub fn full(&self) -> bool {
         self.len() >= self.most
     }
@@ -194,7 +246,7 @@
         let state = Cell::new(State::New { since: Instant::now() });
         let connection = Rc::new(Connection { traffic, state, evicted: Notify::new() });
         self.open.borrow_mut().insert(id, connection.clone());
-        Seat { connection, all: self.clone(), id }
+        Seat(Place { connection, all: self.clone(), id })
     }
 
     /// Makes one give way that has no request open: what has said nothing for longest, else what has idled
@@ -216,7 +268,7 @@
     use super::*;
 
     async fn gone(seat: &Seat) -> bool {
-        timeout(Duration::ZERO, seat.connection.evicted()).await.is_ok()
+        timeout(Duration::ZERO, seat.connection().evicted()).await.is_ok()
     }
 
     #[tokio::test(start_paused = true)]
@@ -224,7 +276,7 @@
         let all = Connections::new(3, 3);
         let seats: Vec<Seat> = (0..3).map(|_| all.seat(Traffic::default())).collect();
         assert!(all.full());
-        seats[0].connection.asked();
+        seats[0].connection().asked();
         all.evict();
         assert!(!gone(&seats[1]).await && !gone(&seats[2]).await, "they have had no time to ask");
         advance(SILENT).await;
@@ -241,7 +293,7 @@
         let mut seats = Vec::new();
         for _ in 0..10 {
             let seat = all.seat(Traffic::default());
-            seat.connection.asked();
+            seat.connection().asked();
             advance(Duration::from_millis(1)).await;
             seat.answered();
             seats.push(seat);
@@ -258,9 +310,30 @@
         seat.answered();
         advance(KEPT).await;
         all.evict();
-        seat.connection.asked();
+        seat.connection().asked();
         assert!(!gone(&seat).await);
         seat.answered();
         assert!(!gone(&seat).await);
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_long_answer_may_last_as_long_as_its_client_reads() {
+        let (all, traffic) = (Connections::new(1, 1), Traffic::default());
+        let seat = all.seat(traffic.clone());
+        seat.connection().asked();
+        let answer = seat.answering();
+        let outstays = |within| timeout(within, seat.connection().outstays());
+        for _ in 0..3 {
+            traffic.count_written(1);
+            assert!(outstays(STALLED - Duration::from_millis(1)).await.is_err(), "it still reads");
+            all.evict();
+            assert!(!gone(&seat).await);
+        }
+        assert!(outstays(Duration::from_millis(2)).await.is_ok(), "it has gone");
+        assert!(all.any_answering());
+        drop(answer);
+        assert!(!all.any_answering());
+        assert!(outstays(IDLE - Duration::from_millis(1)).await.is_err(), "kept from its end on");
+        assert!(outstays(Duration::from_millis(2)).await.is_ok());
+    }
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hollowpaddle_net::Network;
 use hollowpaddle_policy::interface as d;
 use hollowpaddle_policy::interface::{
@@ -25,6 +24,7 @@
 use crate::discovery::{self, News};
 use crate::members::List;
 use crate::membership::Membership;
+use crate::relay::AnswerBody;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
 use crate::upstreams::{Ended, Forward, Pool};
@@ -98,7 +98,7 @@
 
 /// The one final answer.
 pub enum Reply {
-    Served(Response<Bytes>),
+    Served(Response<AnswerBody>),
     Refused { retry_after: Span },
     Failed { late: bool },
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 mod membership;
 mod operators;
+mod relay;
 mod serve;
 mod stream;
 mod subsetting;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,8 @@
 use hollowpaddle_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::http::{HEAD_LIMIT, HEAD_LINES};
+
 /// Bytes that passed on a stream.
 #[derive(Clone, Default)]
 pub struct Traffic(Rc<Passed>);
@@ -49,6 +51,57 @@
     }
 }
 
+/// The head of the message that comes on a stream, as it came. Failure: hyper drops a `Content-Length` beside a
+/// `Transfer-Encoding` without a word, and whoever hides a second request in a body sends both.
+#[derive(Clone, Default)]
+pub struct RawHead(Rc<RefCell<Kept>>);
+
+#[derive(Default)]
+struct Kept {
+    bytes: Vec<u8>,
+    over: bool,
+}
+
+impl RawHead {
+    /// What comes from here on belongs to the next message.
+    pub fn next(&self) {
+        let mut kept = self.0.borrow_mut();
+        kept.bytes.clear();
+        kept.over = false;
+    }
+
+    /// Nothing more is kept until the next message.
+    pub fn stop(&self) {
+        self.0.borrow_mut().over = true;
+    }
+
+    fn keep(&self, bytes: &[u8]) {
+        let mut kept = self.0.borrow_mut();
+        let room = HEAD_LIMIT.saturating_sub(kept.bytes.len());
+        if !kept.over {
+            kept.bytes.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        }
+    }
+
+    /// Whether what was kept is the head of this request, and says its length in one way only.
+    pub fn is_plain(&self, method: &str, target: &str, id: &[u8]) -> bool {
+        let kept = self.0.borrow();
+        let mut headers = [httparse::EMPTY_HEADER; HEAD_LINES];
+        let mut head = httparse::Request::new(&mut headers);
+        if !head.parse(&kept.bytes).is_ok_and(|s| s.is_complete()) {
+            return false;
+        }
+        let is =
+            |name: &'static str| move |h: &&httparse::Header| h.name.eq_ignore_ascii_case(name);
+        let this = head.method == Some(method)
+            && head.path == Some(target)
+            && head.headers.iter().find(is("x-request-id")).is_some_and(|h| h.value == id);
+        let framed = ["content-length", "transfer-encoding"];
+        let lines = framed.map(|name| head.headers.iter().filter(is(name)).count());
+        this && lines.iter().sum::<usize>() <= 1
+    }
+}
+
 /// The stream itself, for its owner.
 pub type Shared = Rc<RefCell<Box<dyn Stream>>>;
 
@@ -56,12 +109,18 @@
 pub struct Tapped {
     inner: Shared,
     traffic: Traffic,
+    head: Option<RawHead>,
 }
 
 impl Tapped {
     pub fn new(stream: Box<dyn Stream>) -> (Self, Shared, Traffic) {
         let (inner, traffic) = (Rc::new(RefCell::new(stream)), Traffic::default());
-        (Self { inner: inner.clone(), traffic: traffic.clone() }, inner, traffic)
+        (Self { inner: inner.clone(), traffic: traffic.clone(), head: None }, inner, traffic)
+    }
+
+    /// Keeps each head as it comes, too.
+    pub fn keeping(self, head: &RawHead) -> Self {
+        Self { head: Some(head.clone()), ..self }
     }
 
     /// Guards against bytes that came after the last look at the connection: what is there before a request
@@ -97,6 +156,9 @@
         ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf))?;
         let passed = &self.traffic.0.read;
         passed.set(passed.get() + (buf.filled().len() - before) as u64);
+        if let Some(head) = &self.head {
+            head.keep(&buf.filled()[before..]);
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -130,3 +192,33 @@
         Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_head_is_plain_if_it_is_this_one_and_says_one_length() {
+        let raw = RawHead::default();
+        let plain = |text: &str| {
+            raw.next();
+            // In pieces, as it may come.
+            text.as_bytes().chunks(7).for_each(|piece| raw.keep(piece));
+            raw.stop();
+            raw.keep(b"Content-Length: 1\r\n");
+            raw.is_plain("POST", "/api?x", b"r1")
+        };
+        let head = "POST /api?x HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n";
+        let (te, cl) = ("Transfer-Encoding: chunked\r\n", "content-LENGTH: 3\r\n");
+        assert!(plain(&format!("{head}{te}\r\n0\r\n\r\n")));
+        // In a body it is no header.
+        assert!(plain(&format!("{head}{te}\r\n13\r\n\r\nContent-Length: 3\r\n\r\n0\r\n\r\n")));
+        assert!(!plain(&format!("{head}{te}{cl}\r\n0\r\n\r\n")));
+        assert!(!plain(&format!("{head}{cl}{te}\r\n0\r\n\r\n")));
+        assert!(!plain(&format!("{head}{te}")), "not whole");
+        let others = [("/api?x", "/api"), ("r1", "r2"), ("POST", "PUT"), ("POST", "\r\n0")];
+        for (this, other) in others {
+            assert!(!plain(&format!("{head}{te}\r\n").replace(this, other)), "{other}");
+        }
+    }
+}
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -17,9 +17,10 @@
 use rustc_hash::FxHashMap;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::bodies::{Allowance, whole};
+use crate::bodies::Allowance;
 use crate::config::Config;
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
+use crate::relay::{AnswerBody, Begun, Passing, begin};
 use crate::stream::{Tapped, Traffic, still_quiet};
 use crate::tasks::AbortOnDrop;
 
@@ -30,9 +31,6 @@
 const REAP_EVERY: Duration = Duration::from_millis(250);
 /// How long a connection may take to be ready again once its answer is whole.
 const READY: Duration = Duration::from_millis(10);
-/// The largest answer. Failure: a body is said to have 64 KiB at most, but in service some answers have
-/// 400 KB; taken for spoilt, each cost its request and its connection.
-const ANSWER_LIMIT: usize = 1 << 20;
 /// Answers that are read, or not yet written to their clients, may take this part of the memory together.
 const ANSWERS_OF_MEMORY: usize = 4;
 /// No figure of a load report lies outside of this.
@@ -51,7 +49,7 @@
     pub outcome: Outcome,
     pub report: Report,
     /// The answer, if it served.
-    pub response: Option<Response<Bytes>>,
+    pub response: Option<Response<AnswerBody>>,
 }
 
 impl Ended {
@@ -220,11 +218,12 @@
         Some(Link { sender, traffic, stream, address, idle_since, _connection })
     }
 
-    /// One attempt: at most one request reaches the wire. `live` is asked right before it does.
+    /// One attempt: at most one request reaches the wire. `live` is asked right before it does. Of a long answer
+    /// only the beginning has to come within the time.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
-        target: &Target,
+        target: &Rc<Target>,
         forward: &Forward,
         until: Instant,
         live: impl Fn() -> bool,
@@ -241,9 +240,9 @@
     }
 
     async fn exchange(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
-        target: &Target,
+        target: &Rc<Target>,
         forward: &Forward,
         until: Instant,
         live: impl Fn() -> bool,
@@ -280,26 +279,17 @@
         }
     }
 
-    /// Reads an answer to its end; only then is it one.
+    /// Reads an answer to its end; only then is it one. Of a long one it has to do that it begins.
     async fn answer(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
-        target: &Target,
-        mut link: Link,
+        target: &Rc<Target>,
+        link: Link,
         answer: Response<hyper::body::Incoming>,
     ) -> Ended {
         let (head, body) = answer.into_parts();
         let report = report(&self.fields, &head.headers);
-        // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
-        let Some(body) = whole(body, ANSWER_LIMIT, &self.answers).await else {
-            return Ended { report, ..Ended::bare(Outcome::Reset) };
-        };
-        // To one that drains or is gone nothing more will be sent.
-        let open = target.closed_from.get().is_none();
-        if open && let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
-            link.idle_since = Instant::now();
-            self.put(server, link);
-        }
+        let begun = begin(body, &self.answers).await;
         let not_run = head.headers.get("x-not-run").is_some_and(|v| v == "1");
         let outcome = match head.status {
             StatusCode::OK => Outcome::Ok,
@@ -308,9 +298,43 @@
             }
             _ => Outcome::Error,
         };
+        let body = match begun {
+            Begun::Whole(body) => {
+                self.keep(server, target, link).await;
+                AnswerBody::from(body)
+            }
+            Begun::Long { first, rest, length } if outcome == Outcome::Ok => {
+                let (pool, target) = (self.clone(), target.clone());
+                // The connection is this answer's, and closes with it unless that ends well.
+                let link = Rc::new(RefCell::new(Some(link)));
+                let kept = link.clone();
+                let mut passing = Passing::new(first, rest, length, move || {
+                    let Some(link) = kept.take() else { return };
+                    tokio::task::spawn_local(async move { pool.keep(server, &target, link).await });
+                });
+                passing.hold(link);
+                AnswerBody::Passing(Box::new(passing))
+            }
+            // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
+            Begun::Long { .. } | Begun::Spoilt if outcome == Outcome::Ok => {
+                return Ended { report, ..Ended::bare(Outcome::Reset) };
+            }
+            // What a failure has to say beyond its status is not waited for.
+            Begun::Long { .. } | Begun::Spoilt => return Ended { report, ..Ended::bare(outcome) },
+        };
         let response = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
         Ended { outcome, report, response }
     }
+
+    /// Keeps a connection whose answer has come to its end for the next request, if it is of use.
+    async fn keep(&self, server: ServerId, target: &Target, mut link: Link) {
+        // To one that drains or is gone nothing more will be sent.
+        let open = target.closed_from.get().is_none();
+        if open && let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
+            link.idle_since = Instant::now();
+            self.put(server, link);
+        }
+    }
 }
 
 /// `X-Load: TEXT name=value, name=value`; what is not understood is left out.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,8 @@
 //! it covers names.
 
 mod bad_clients;
+mod forms;
+mod operators;
 mod reload;
 mod serving;
 mod spoilt;
