--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -13,6 +13,7 @@
 use hollowpaddle_policy::interface::{
     Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time,
 };
+use hollowpaddle_policy::learned::Learned;
 use hollowpaddle_policy::policy::Balancer;
 use hollowpaddle_subset::{Bank, SizeError};
 use hyper::Response;
@@ -83,6 +84,10 @@
         names: BTreeSet<String>,
         done: oneshot::Sender<()>,
     },
+    /// What the module has learned.
+    Learned(oneshot::Sender<Learned>),
+    /// What another process of this balancer has.
+    Recall(Box<Learned>),
 }
 
 /// A request as the module needs to know it.
@@ -136,6 +141,18 @@
         answer.await.unwrap_or(false)
     }
 
+    /// What the module has learned so far.
+    pub async fn learned(&self) -> Option<Learned> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Learned(reply));
+        answer.await.ok()
+    }
+
+    /// Has the module go on from what another process of this balancer has learned.
+    pub fn recall(&self, learned: Learned) {
+        let _ = self.notes.send(Note::Recall(Box::new(learned)));
+    }
+
     /// Takes these out, and lets all others back; whether that is done.
     /// Told at once; what is returned waits for it to be done.
     pub fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool> + use<> {
@@ -387,6 +404,13 @@
             Note::Watched { serial, news } if serial == self.watch_serial => self.heard(news),
             Note::Watched { .. } => {}
             Note::Moved(discovery) => self.moved(discovery),
+            Note::Learned(reply) => drop(reply.send(self.balancer.learned())),
+            Note::Recall(learned) => match self.balancer.recall(self.clock.now(), &learned) {
+                Ok(()) => tracing::info!("goes on from what an older process has learned"),
+                Err(cause) => {
+                    tracing::warn!(%cause, "what an older process has learned is of no use")
+                }
+            },
             Note::HasNamed { name, reply } => drop(reply.send(self.upstreams.has_named(&name))),
             Note::Cordoned { names, done } => {
                 let list = self.upstreams.cordon(&names, Instant::now());
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -35,6 +35,8 @@
 /// A change that another process is in the way of is tried again for so long. Callers wait 1 s.
 const BUSY: Duration = Duration::from_millis(700);
 const BUSY_STEP: Duration = Duration::from_millis(10);
+/// What an older process has learned is waited for so long; it looks every [`LOOK`].
+const LEAVE: Duration = Duration::from_millis(500);
 /// Without a word of discovery the list as last known has to do, after this time. Failure: a process that took over
 /// on an old list alone sent to upstreams that had gone.
 const FIRST_WORD: Duration = Duration::from_secs(1);
@@ -60,6 +62,8 @@
     since: Instant,
     /// Others can see that this process serves.
     serving: Cell<bool>,
+    /// The newest process that what was learned here was left to.
+    left_to: Cell<u64>,
 }
 
 impl Operators {
@@ -88,6 +92,7 @@
             said: RefCell::default(),
             since: Instant::now(),
             serving: Cell::new(false),
+            left_to: Cell::new(0),
         };
         operators.apply(said).await;
         Ok(Rc::new(operators))
@@ -98,11 +103,15 @@
         loop {
             let news = self.store.borrow_mut().as_mut().map(Store::look).transpose();
             match news {
-                Ok(Some(Some(said))) => drop(self.apply(said).await),
+                Ok(Some(Some(said))) => {
+                    self.apply(said).await;
+                    self.leave_learned().await;
+                }
                 Ok(_) => {}
                 Err(cause) => tracing::error!(%cause, "what operators have said can't be read"),
             }
             if !self.serving.get() && self.could_serve() {
+                self.recall_learned().await;
                 self.announce().await;
             }
             sleep(LOOK).await;
@@ -165,6 +174,41 @@
         which(&stands, me.number).into_iter().any(|n| store.alive(n))
     }
 
+    /// Leaves what was learned here to a process that was started since.
+    async fn leave_learned(&self) {
+        let Some(me) = &self.started else { return };
+        let newest = self.said.borrow().processes.keys().max().copied().unwrap_or(0);
+        if newest <= me.number.max(self.left_to.get()) {
+            return;
+        }
+        self.left_to.set(newest);
+        let Some(learned) = self.engine.learned().await else { return };
+        let Ok(text) = serde_json::to_vec(&learned) else { return };
+        if let Some(Err(cause)) = self.store.borrow().as_ref().map(|s| s.leave(me.number, &text)) {
+            tracing::warn!(%cause, "what was learned can't be left to the next process");
+        }
+    }
+
+    /// Goes on from what an older process has learned, if it leaves that in time.
+    async fn recall_learned(&self) {
+        let until = Instant::now() + LEAVE;
+        let older = |said: &Said, me| said.before(me).next().into_iter().collect();
+        while self.others(older) {
+            let number =
+                self.started.as_ref().and_then(|me| self.said.borrow().before(me.number).next());
+            let left = number.and_then(|n| self.store.borrow().as_ref().and_then(|s| s.left(n)));
+            if let Some(learned) = left.and_then(|text| serde_json::from_slice(&text).ok()) {
+                self.engine.recall(learned);
+                return;
+            }
+            if Instant::now() >= until {
+                tracing::warn!("an older process has not left what it learned");
+                return;
+            }
+            sleep(BUSY_STEP).await;
+        }
+    }
+
     fn could_serve(&self) -> bool {
         self.engine.ready() && (self.engine.heard() || self.since.elapsed() >= FIRST_WORD)
     }
--- a/crates/operations/src/store.rs
+++ b/crates/operations/src/store.rs
@@ -2,7 +2,7 @@
 //! put in place by a rename, and one locked file a process, by which the others see whether it lives.
 
 use std::fs::{self, File, TryLockError};
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::path::{Path, PathBuf};
 
 use crate::Said;
@@ -133,6 +133,7 @@
             for n in number.saturating_sub(64)..number {
                 if !said.processes.contains_key(&n) {
                     let _ = fs::remove_file(process(&dir, n));
+                    let _ = fs::remove_file(left(&dir, n));
                 }
             }
         })?;
@@ -142,6 +143,22 @@
         Ok((Started { number, _alive }, said))
     }
 
+    /// Leaves this for the processes after the one of this start, in place of what it left before.
+    ///
+    /// # Errors
+    /// It can't be written.
+    pub fn leave(&self, number: u64, what: &[u8]) -> Result<(), StoreError> {
+        let path = left(&self.dir, number);
+        let new = path.with_extension("new");
+        let written = fs::write(&new, what).and_then(|()| fs::rename(&new, &path));
+        written.map_err(|e| StoreError::File(path, e))
+    }
+
+    /// What the process of this start has left, if anything.
+    pub fn left(&self, number: u64) -> Option<Vec<u8>> {
+        read(&left(&self.dir, number)).ok()
+    }
+
     /// Whether the process of this start still lives. Not to be asked of oneself.
     pub fn alive(&self, number: u64) -> bool {
         alive(&self.dir, number)
@@ -149,14 +166,8 @@
 
     fn text(&self) -> Result<Vec<u8>, StoreError> {
         let path = self.dir.join(STATE);
-        let read = || {
-            let file = File::open(&path)?;
-            let mut text = Vec::new();
-            io::Read::read_to_end(&mut io::Read::take(file, LONGEST), &mut text)?;
-            Ok(text)
-        };
-        match read() {
-            Err(e) if io::Error::kind(&e) == ErrorKind::NotFound => Ok(Vec::new()),
+        match read(&path) {
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(Vec::new()),
             read => read.map_err(|e| StoreError::File(path.clone(), e)),
         }
     }
@@ -178,6 +189,16 @@
     dir.join(format!("process-{number}"))
 }
 
+fn left(dir: &Path, number: u64) -> PathBuf {
+    dir.join(format!("left-{number}"))
+}
+
+fn read(path: &Path) -> io::Result<Vec<u8>> {
+    let mut text = Vec::new();
+    File::open(path)?.take(LONGEST).read_to_end(&mut text)?;
+    Ok(text)
+}
+
 fn open(path: &Path) -> io::Result<File> {
     File::options().create(true).truncate(false).write(true).open(path)
 }
--- a/crates/operations/tests/store.rs
+++ b/crates/operations/tests/store.rs
@@ -65,3 +65,19 @@
     assert_eq!(line, 2);
     assert_eq!(fs::read_to_string(&path).expect("still there"), text);
 }
+
+#[test]
+fn what_a_process_leaves_lasts_until_the_next_but_one() {
+    let dir = dir();
+    let mut store = Store::open(dir.path()).expect("opens");
+    let (old, _) = store.start().expect("joins");
+    assert_eq!(store.left(old.number), None);
+    store.leave(old.number, b"a").expect("written");
+    store.leave(old.number, b"what it knew").expect("written");
+    let (new, _) = store.start().expect("joins");
+    assert_eq!(store.left(old.number).as_deref(), Some(&b"what it knew"[..]));
+    let number = old.number;
+    drop((old, new));
+    let _ = store.start().expect("joins");
+    assert_eq!(store.left(number), None, "the dead leave nothing");
+}
--- /dev/null
+++ b/crates/policy/src/learned.rs
@@ -0,0 +1,172 @@
+//! What a balancer has learned of its fleet, in a form that outlasts its process: the next one goes on from it. Decides
+//! nothing; what the figures mean is in [`crate::policy`].
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+use crate::interface::Time;
+use crate::policy::Balancer;
+use crate::state::{Estimate, Lanes};
+
+/// What was learned. Times and latencies in microseconds, rates in answers a microsecond, as the module keeps them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    ts: f64,
+    good: f64,
+    leeway: f64,
+    bearable: f64,
+    answers: f64,
+    any_rate: f64,
+    classes: Vec<ClassLearned>,
+    kinds: Vec<KindLearned>,
+    upstreams: Vec<UpstreamLearned>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct ClassLearned {
+    answers: f64,
+    mean: f64,
+    dev: f64,
+    hopeless: f64,
+    part: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct KindLearned {
+    warm_rate: f64,
+    lanes: usize,
+    /// Work done at each level, and what the level in use would have done.
+    levels: Vec<(f64, f64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct UpstreamLearned {
+    /// The same in every process, unlike its handle.
+    identity: u64,
+    started: Option<i64>,
+    tp2: Option<f64>,
+    slow: f64,
+}
+
+/// Why what was learned elsewhere can't be gone on from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotRecalled {
+    /// The settings were others: so many classes there, and here.
+    #[error("it was learned of {0} classes, and there are {1}")]
+    Classes(usize, usize),
+    /// Some figure is none that a balancer keeps.
+    #[error("a figure of it is out of range")]
+    Nonsense,
+}
+
+impl Learned {
+    /// Whether every figure is one that a balancer could have kept: finite, and none negative.
+    fn is_sound(&self) -> bool {
+        let plain = |f: f64| f.is_finite() && f >= 0.0;
+        let whole = [self.ts, self.good, self.leeway, self.bearable, self.answers, self.any_rate];
+        let class = |c: &ClassLearned| {
+            [c.answers, c.mean, c.dev, c.hopeless, c.part].map(plain) == [true; 5]
+        };
+        let level = |l: &(f64, f64)| plain(l.0) && plain(l.1);
+        let kind = |k: &KindLearned| plain(k.warm_rate) && k.levels.iter().all(level);
+        let upstream =
+            |u: &UpstreamLearned| plain(u.slow) && u.slow > 0.0 && u.tp2.is_none_or(plain);
+        whole.into_iter().all(plain)
+            && self.ts > 0.0
+            && self.good > 0.0
+            && self.classes.iter().all(class)
+            && self.kinds.iter().all(kind)
+            && self.upstreams.iter().all(upstream)
+    }
+}
+
+impl Balancer {
+    /// What it has learned so far. Walks the fleet.
+    pub fn learned(&self) -> Learned {
+        let f = &self.fleet;
+        let class = |c: usize| ClassLearned {
+            answers: f.of_class[c],
+            mean: f.mean[c],
+            dev: f.dev[c],
+            hopeless: f.hopeless[c],
+            part: f.part[c],
+        };
+        let kind = |(lanes, rate): (&Lanes, &f64)| KindLearned {
+            warm_rate: *rate,
+            lanes: lanes.count,
+            levels: lanes.level.iter().map(|l| (l.all, l.expected)).collect(),
+        };
+        let known = self.up.by_id.values().map(|i| &self.up.servers[*i]);
+        let mut upstreams: Vec<UpstreamLearned> = known
+            .map(|s| UpstreamLearned {
+                identity: s.identity,
+                started: s.started.map(|t| t.0),
+                tp2: s.est.tp2,
+                slow: s.est.slow,
+            })
+            .collect();
+        upstreams.sort_unstable_by_key(|u| u.identity);
+        Learned {
+            ts: f.ts,
+            good: f.good,
+            leeway: f.leeway,
+            bearable: f.bearable,
+            answers: f.answers,
+            any_rate: f.any_rate,
+            classes: (0..f.mean.len()).map(class).collect(),
+            kinds: f.lanes.iter().zip(&f.warm_rate).map(kind).collect(),
+            upstreams,
+        }
+    }
+
+    /// Goes on from what another process of this balancer has learned, in place of what this one has. Of upstreams only
+    /// those that are listed here and have not started anew since are recalled.
+    ///
+    /// # Errors
+    /// It does not fit; nothing has changed then.
+    pub fn recall(&mut self, now: Time, learned: &Learned) -> Result<(), NotRecalled> {
+        let classes = self.fleet.mean.len();
+        if learned.classes.len() != classes {
+            return Err(NotRecalled::Classes(learned.classes.len(), classes));
+        }
+        if !learned.is_sound() {
+            return Err(NotRecalled::Nonsense);
+        }
+        let f = &mut self.fleet;
+        (f.ts, f.good, f.leeway) = (learned.ts, learned.good, learned.leeway);
+        (f.bearable, f.answers, f.any_rate) = (learned.bearable, learned.answers, learned.any_rate);
+        (f.paced, f.counted) = (learned.ts, now);
+        for (c, was) in learned.classes.iter().enumerate() {
+            (f.of_class[c], f.mean[c], f.dev[c]) = (was.answers, was.mean, was.dev);
+            (f.hopeless[c], f.part[c]) = (was.hopeless, was.part);
+        }
+        let kinds = f.lanes.iter_mut().zip(&mut f.warm_rate);
+        for ((lanes, rate), was) in kinds.zip(&learned.kinds) {
+            *rate = was.warm_rate;
+            if (1..lanes.level.len()).contains(&was.lanes) {
+                lanes.count = was.lanes;
+                for (level, was) in lanes.level.iter_mut().zip(&was.levels) {
+                    (level.all, level.expected) = *was;
+                }
+            }
+        }
+        let was: FxHashMap<u64, &UpstreamLearned> =
+            learned.upstreams.iter().map(|u| (u.identity, u)).collect();
+        let mut all: Vec<usize> = self.up.by_id.values().copied().collect();
+        all.sort_unstable();
+        for i in all {
+            let s = &mut self.up.servers[i];
+            let was = was.get(&s.identity).filter(|u| u.started == s.started.map(|t| t.0));
+            if let Some(was) = was {
+                let before =
+                    std::mem::replace(&mut s.est, Estimate { tp2: was.tp2, slow: was.slow });
+                self.fleet.tp2_sum.change(before.tp2, was.tp2);
+                self.fleet.tp2_seen += usize::from(was.tp2.is_some());
+                self.fleet.tp2_seen -= usize::from(before.tp2.is_some());
+            }
+            self.refresh(now, i);
+        }
+        self.refresh_fleet(now);
+        Ok(())
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod interface;
+pub mod learned;
 pub mod policy;
 mod queue;
 pub mod settings;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -146,7 +146,7 @@
     t_qos: f64,
     rng: Rand64,
     started: bool,
-    up: Upstreams,
+    pub(crate) up: Upstreams,
     queue: Queue,
     /// How far the sweep over the ring is, and how much it still owes.
     at: usize,
@@ -159,7 +159,7 @@
     extra: f64,
     /// Whether so much of the fleet is shut to a class that it is open to it all the same.
     panic: Vec<bool>,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     /// What each tenant may still send within its share.
     quotas: Vec<Quota>,
     ask: Asking,
@@ -418,14 +418,14 @@
     }
 
     /// Slower upstreams and those farther off are the dearer ones.
-    fn refresh(&mut self, now: Time, server: usize) {
+    pub(crate) fn refresh(&mut self, now: Time, server: usize) {
         let s = &mut self.up.servers[server];
         s.cost = (NEAR + s.reach) * s.est.slow * s.est.slow;
         self.update(server);
         self.touch(now, server);
     }
 
-    fn refresh_fleet(&mut self, now: Time) {
+    pub(crate) fn refresh_fleet(&mut self, now: Time) {
         if self.fleet.tp2_seen > 0 {
             self.fleet.tp2 = self.fleet.tp2_sum.get() / self.fleet.tp2_seen as f64;
         }
--- /dev/null
+++ b/crates/policy/tests/learned.rs
@@ -0,0 +1,87 @@
+//! What a balancer has learned, gone on from by another one of the same settings.
+
+mod common;
+
+use common::{MS, World, member, settings};
+use hollowpaddle_policy::interface::*;
+use hollowpaddle_policy::learned::{Learned, NotRecalled};
+
+/// Upstreams 0 to 3, of which the first takes four times as long as the others.
+fn taught() -> World {
+    let mut w = World::with_servers(settings(), 4);
+    for round in 0..100 {
+        let ids = round * 4..round * 4 + 4;
+        ids.clone().for_each(|id| w.request(id, 0));
+        for (wait, slow) in [(20, false), (60, true)] {
+            w.pass(Span(wait * MS));
+            for id in ids.clone() {
+                if w.out(id).is_some_and(|s| (s == ServerId(0)) == slow) {
+                    w.outcome(id, 0, Outcome::Ok);
+                }
+            }
+        }
+    }
+    w
+}
+
+fn limits(w: &World, server: u32) -> (u32, f64) {
+    let (_, k, n) = w.balancer.upstream(ServerId(server), Span(600 * MS)).expect("listed");
+    (k, n)
+}
+
+#[test]
+fn the_next_process_knows_what_the_one_before_it_has_learned() {
+    let old = taught();
+    let learned = old.balancer.learned();
+    let mut new = World::with_servers(settings(), 4);
+    let fresh: Vec<_> = (0..4).map(|i| limits(&new, i)).collect();
+    new.balancer.recall(new.now, &learned).expect("it fits");
+    assert_eq!(new.balancer.learned(), learned, "nothing is lost on the way");
+    for i in 0..4 {
+        let (was, is) = (limits(&old, i), limits(&new, i));
+        assert_eq!(was.0, is.0);
+        assert!((was.1 - is.1).abs() < 0.05 * was.1, "upstream {i}: N {} and {}", was.1, is.1);
+    }
+    assert!(limits(&new, 0).1 < 0.5 * limits(&new, 1).1, "the slow one is known as slow");
+    assert!((fresh[0].1 - fresh[1].1).abs() < 1e-9, "and was not before");
+}
+
+#[test]
+fn of_an_upstream_that_has_started_anew_nothing_is_recalled() {
+    let learned = taught().balancer.learned();
+    let mut new = World::new(settings());
+    let young = Member { started: Some(new.now), ..member(0, 0) };
+    new.list(ListKind::Whole, &[young, member(1, 0), member(9, 0)]);
+    new.balancer.recall(new.now, &learned).expect("it fits");
+    assert!((limits(&new, 0).1 - limits(&new, 9).1).abs() < 1e-9, "both are as unknown ones are");
+    assert!(limits(&new, 1).1 > 1.2 * limits(&new, 9).1, "faster than the mean of the fleet");
+}
+
+#[test]
+fn what_does_not_fit_changes_nothing() {
+    let learned = taught().balancer.learned();
+    let mut one = settings();
+    one.classes.truncate(1);
+    let mut new = World::with_servers(one, 4);
+    let before = new.balancer.learned();
+    assert_eq!(new.balancer.recall(new.now, &learned), Err(NotRecalled::Classes(3, 1)));
+    assert_eq!(new.balancer.learned(), before);
+    let mut new = World::with_servers(settings(), 4);
+    let before = new.balancer.learned();
+    assert_eq!(new.balancer.recall(new.now, &Learned::default()), Err(NotRecalled::Classes(0, 3)));
+    for (what, with) in [("ts", -1.0), ("good", 0.0), ("leeway", -0.5), ("any_rate", -1e-9)] {
+        let mut text = serde_json::to_value(&learned).expect("as JSON");
+        assert!(text[what].as_f64().is_some_and(|f| f > 0.0), "{what}");
+        text[what] = with.into();
+        let bad: Learned = serde_json::from_value(text).expect("of the right form");
+        assert_eq!(new.balancer.recall(new.now, &bad), Err(NotRecalled::Nonsense), "{what}");
+        assert_eq!(new.balancer.learned(), before);
+    }
+}
+
+#[test]
+fn it_survives_the_way_through_a_file() {
+    let learned = taught().balancer.learned();
+    let text = serde_json::to_string(&learned).expect("as JSON");
+    assert_eq!(serde_json::from_str::<Learned>(&text).expect("read back"), learned);
+}
