Name a newcomer once when the subset changes with the list that names it

Cause: a list and the change of the subset that it brings about were told one after the other, each naming the newcomer; the module passed over the second.

Change: whoever the change of the subset concerns is named by it alone; a test of ten times as many that come and go, which fails without the mend.

--- a/crates/gateway/src/subsetting.rs
+++ b/crates/gateway/src/subsetting.rs
@@ -46,7 +46,12 @@
         told.retain(|m| self.subset.holds(cell(m)) || self.shown.contains(&m.id));
         if kind.is_part() {
             if moved {
-                told.extend(self.moved());
+                // Whoever the change of the subset concerns is named by it, and once. Failure: a newcomer was named
+                // both as listed and as come into the subset.
+                let more = self.moved();
+                let named: FxHashSet<ServerId> = more.iter().map(|m| m.id).collect();
+                told.retain(|m| !named.contains(&m.id));
+                told.extend(more);
             }
         } else {
             // The whole list, as the module is to have it: the rest is gone by being left out.
@@ -175,6 +180,28 @@
         assert_eq!(after, before);
     }
 
+    #[test]
+    fn nobody_is_named_twice_when_the_subset_changes_with_the_list() {
+        let (mut of, mut has) = (subsetting(), FxHashMap::default());
+        let all = fleet(80);
+        apply(&mut has, ListKind::Whole, &of.listed(Time(0), ListKind::Whole, &all));
+        // Ten times as many come, and the subset grows with them.
+        let more: Vec<Member> = fleet(800).split_off(80);
+        let told = of.listed(Time(1), ListKind::Update, &more);
+        let named: FxHashSet<ServerId> = told.iter().map(|m| m.id).collect();
+        assert!(named.len() > 8, "{} named", named.len());
+        assert_eq!(named.len(), told.len(), "somebody is named twice");
+        apply(&mut has, ListKind::Update, &told);
+        // And leave again, with some of whom the module knows.
+        let gone: Vec<Member> =
+            more.iter().map(|m| Member { status: Status::Gone, ..*m }).collect();
+        let told = of.listed(Time(2), ListKind::Update, &gone);
+        let named: FxHashSet<ServerId> = told.iter().map(|m| m.id).collect();
+        assert_eq!(named.len(), told.len(), "somebody is named twice");
+        apply(&mut has, ListKind::Update, &told);
+        assert!(has.keys().all(|id| id.0 < 80));
+    }
+
     #[test]
     fn a_subset_that_is_silent_is_widened() {
         let (mut of, mut has) = (subsetting(), FxHashMap::default());
