Have the operators' tests fail where a cordon or a succession is taken away

Cause: each new check was made to fail once by taking its mechanism away; two passed all the same. One client at a time never needed the upstream that was out, and nothing told who had accepted what came after SIGTERM.

Change: four clients ask together of upstreams that take a moment, and both are seen in use before one is taken out; a test with the newer process standing still shows that what comes to the shared socket waits for it.

--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -52,32 +52,49 @@
     }
 }
 
-/// Asks so often; how many of these came to each of the two.
-fn spread(client: &mut Client, asks: usize, pair: [&Upstream; 2]) -> [usize; 2] {
+/// An upstream that takes a moment, so that requests that come together need more than one.
+fn slow() -> Upstream {
+    Upstream::start(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        ok("done")
+    })
+}
+
+/// Four clients ask together, so often; how many of these came to each of the two.
+fn spread(clients: &mut [Client; 4], rounds: usize, pair: [&Upstream; 2]) -> [usize; 2] {
     let _ = pair.map(Upstream::requests_so_far);
-    for i in 0..asks {
-        assert_eq!(client.ask(&read(&format!("r{i}"), 5000)).status(), 200);
+    for _ in 0..rounds {
+        for (i, client) in clients.iter_mut().enumerate() {
+            client.send(&read(&format!("r{i}"), 5000));
+        }
+        for client in clients.iter_mut() {
+            assert_eq!(client.answer().expect("an answer").status(), 200);
+        }
     }
     pair.map(Upstream::requests_so_far)
 }
 
 #[test]
 fn whom_operators_take_out_gets_nothing_until_they_let_it_back() {
-    let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
+    let (a, b) = (slow(), slow());
     let dir = dir();
     let node = start(&config(members(&[&a, &b])), dir.path());
+    // A watch that says nothing is asked for anew.
+    let (_, mut watch) = node.discovery.watch();
+    let list = json!({"revision": 42, "complete": true, "members": members(&[&a, &b])});
+    chunk(&mut watch, &format!("{list}\n"));
     until("it can serve", || call(&node, "health", "") == 200);
     assert_eq!(call(&node, "cordon", "s-9"), 404, "never listed");
     assert_eq!(call(&node, "uncordon", "s-9"), 404);
     assert_eq!(call(&node, "cordon", ""), 400);
+    let mut clients = [(); 4].map(|()| node.client());
+    let both = spread(&mut clients, 3, [&a, &b]);
+    assert!(both[0] > 0 && both[1] > 0, "{both:?}");
     for _ in 0..2 {
         assert_eq!(call(&node, "cordon", "s-0"), 200);
     }
-    let mut client = node.client();
-    let [to_a, to_b] = spread(&mut client, 40, [&a, &b]);
-    assert_eq!((to_a, to_b), (0, 40));
+    assert_eq!(spread(&mut clients, 5, [&a, &b]), [0, 20]);
     // Discovery names it as before, and as one that has started anew.
-    let (_, mut watch) = node.discovery.watch();
     let mut listed = members(&[&a, &b]);
     listed[0]["up_since_ms"] = json!(1);
     let list = json!({"revision": 50, "complete": true, "members": listed});
@@ -88,10 +105,10 @@
         chunk(&mut watch, &format!("{list}\n"));
         call(&node, "cordon", "s-2") == 200
     });
-    assert_eq!(spread(&mut client, 40, [&a, &b])[0], 0);
+    assert_eq!(spread(&mut clients, 5, [&a, &b]), [0, 20]);
     // One call back ends it, however often it was taken out.
     assert_eq!(call(&node, "uncordon", "s-0"), 200);
-    until("it serves again", || spread(&mut client, 4, [&a, &b])[0] > 0);
+    until("it serves again", || spread(&mut clients, 1, [&a, &b])[0] > 0);
 }
 
 #[test]
@@ -147,16 +164,17 @@
 
 #[test]
 fn a_process_is_replaced_and_no_client_is_turned_back() {
-    let (a, b) = (Upstream::start(|_| ok("a")), Upstream::start(|_| ok("b")));
+    let (a, b) = (slow(), slow());
     let (dir, both) = (dir(), config(members(&[&a, &b])));
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let mut old = start_on(&listener, &both, dir.path());
     assert_eq!(old.address, address);
     until("it can serve", || call(&old, "health", "") == 200);
-    let mut kept = Client::to(address);
-    assert_eq!(kept.ask(&read("r0", 5000)).status(), 200);
+    let mut kept = [(); 4].map(|()| Client::to(address));
+    assert!(spread(&mut kept, 3, [&a, &b])[0] > 0);
     assert_eq!(call(&old, "cordon", "s-0"), 200);
+    assert_eq!(spread(&mut kept, 3, [&a, &b]), [0, 12]);
 
     let new = start_on(&listener, &both, dir.path());
     until("the new one can serve", || call(&new, "health", "") == 200);
@@ -164,7 +182,7 @@
     assert_eq!(call(&new, "cordon", "s-9"), 404);
     assert_eq!(call(&new, "uncordon", "s-0"), 200);
     assert_eq!(call(&new, "cordon", "s-1"), 200);
-    until("the old one hears of it", || spread(&mut kept, 4, [&a, &b])[1] == 0);
+    until("the old one hears of it", || spread(&mut kept, 1, [&a, &b])[1] == 0);
 
     let asks = |address: SocketAddr, id: usize| {
         Client::to(address).ask(&read(&format!("n{id}"), 5000)).status()
@@ -180,7 +198,7 @@
             served
         });
         old.signal("TERM");
-        let last = kept.ask(&read("last", 5000));
+        let last = kept[0].ask(&read("last", 5000));
         assert_eq!((last.status(), last.header("connection")), (200, "close"));
         assert_eq!(old.exit_code(), Some(0));
         go_on.store(false, std::sync::atomic::Ordering::SeqCst);
@@ -202,3 +220,28 @@
     assert_eq!(node.client().ask(&read("r1", 5000)).status(), 200);
     assert_eq!(node.exit_code(), Some(0));
 }
+
+#[test]
+fn what_waits_at_the_shared_socket_is_left_to_the_newer_process() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let (dir, config) = (dir(), config(members(&[&upstream])));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut old = start_on(&listener, &config, dir.path());
+    until("it can serve", || call(&old, "health", "") == 200);
+    let new = start_on(&listener, &config, dir.path());
+    until("the new one can serve", || call(&new, "health", "") == 200);
+    new.signal("STOP");
+    // The old one alone can have accepted it: a new one that stands still accepts nobody.
+    let mut kept = old.client();
+    assert_eq!(kept.ask(&read("r0", 5000)).status(), 200);
+    old.signal("TERM");
+    while kept.ask(&read("r0", 5000)).header("connection") != "close" {}
+    upstream.requests_so_far();
+    // It has heard, and nobody else could answer now.
+    let mut client = old.client();
+    client.send(&read("r1", 5900));
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(upstream.requests_so_far(), 0, "the old one accepted it");
+    new.signal("CONT");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+}
