Break the gateway's import circle, and leave what was learned on every look

config took CALLERS from operators, and operators took Front and Door: six files in a circle. The limit now stands in config, and operators ask for a small interface (Operated) that serve.rs ties to the engine and the front; the circle is gone.

A test of each, seen to fail with the old lines put back.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -11,8 +11,11 @@
 /// Descriptors that are neither a client's nor an upstream's: standard streams, the event queue, the
 /// listener, the watch, signals.
 const RESERVED: usize = 24;
-/// And for the operators' door: the listener, its callers, the file that is read or written.
-const RESERVED_FOR_OPERATORS: usize = crate::operators::CALLERS + 4;
+/// So many callers are heard at the operators' door at once; for one more, the one that has been longest about its call
+/// is closed.
+pub const CALLERS: usize = 16;
+/// Descriptors of that door: the listener, its callers, the file that is read or written.
+const RESERVED_FOR_OPERATORS: usize = CALLERS + 4;
 /// Where the platform states no limit.
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,8 +1,8 @@
-//! The operators' door: reads their calls, keeps what they say where the next process finds it, and has the engine and
-//! the front do it. What a call means is in `hollowpaddle_operations`.
+//! The operators' door: reads their calls, keeps what they say where the next process finds it, and has the balancer
+//! do it. What a call means is in `hollowpaddle_operations`; how the balancer does it is its own.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use hollowpaddle_net::{Listener, accept};
 use hollowpaddle_operations::call::BODY_LIMIT;
 use hollowpaddle_operations::{Call, Said, Started, Store, StoreError};
+use hollowpaddle_policy::learned::Learned;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -20,13 +21,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::clients::Front;
-use crate::engine::Door;
+use crate::config::CALLERS;
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::tasks::AbortOnDrop;
 
-/// So many callers at once; for one more, the one that has been longest about its call is closed.
-pub const CALLERS: usize = 16;
 /// A call must be read and answered in this time: whoever needs longer is not waited for.
 const CALL: Duration = Duration::from_secs(2);
 /// How often what stands is looked at: another process of this balancer may have been called. Without it an
@@ -52,10 +50,28 @@
     pub store: Option<Store>,
 }
 
+/// The balancer behind the door, as far as operators have to do with it.
+pub trait Operated {
+    /// Whether there is anywhere to send to.
+    fn ready(&self) -> bool;
+    /// Whether discovery has told a list since the start.
+    fn heard(&self) -> bool;
+    /// Whether a list has named this upstream.
+    fn has_named(&self, name: String) -> impl Future<Output = bool>;
+    /// Takes these out, and lets all others back; whether that is done. Told at once; what is returned waits for
+    /// it to be done.
+    fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool>;
+    /// Sends clients away, or takes them again.
+    fn quiesce(&self, quiesced: bool);
+    /// What was learned of the upstreams so far; nothing, if there is nobody left to ask.
+    fn learned(&self) -> impl Future<Output = Option<Learned>>;
+    /// Goes on from what another process of this balancer has learned.
+    fn recall(&self, learned: Learned);
+}
+
 /// The door, and what stands behind it.
-pub struct Operators {
-    engine: Door,
-    front: Rc<Front>,
+pub struct Operators<B> {
+    balancer: B,
     store: RefCell<Option<Store>>,
     started: Option<Started>,
     said: RefCell<Said>,
@@ -66,16 +82,12 @@
     left_to: Cell<u64>,
 }
 
-impl Operators {
+impl<B: Operated + 'static> Operators<B> {
     /// Joins the processes of this balancer, and does what stands.
     ///
     /// # Errors
     /// The store can't be used.
-    pub async fn join(
-        engine: Door,
-        front: Rc<Front>,
-        store: Option<Store>,
-    ) -> Result<Rc<Self>, StoreError> {
+    pub async fn join(balancer: B, store: Option<Store>) -> Result<Rc<Self>, StoreError> {
         let mut store = store;
         let (started, said) = match &mut store {
             Some(store) => {
@@ -85,8 +97,7 @@
             None => (None, Said::default()),
         };
         let operators = Self {
-            engine,
-            front,
+            balancer,
             store: RefCell::new(store),
             started,
             said: RefCell::default(),
@@ -103,13 +114,12 @@
         loop {
             let news = self.store.borrow_mut().as_mut().map(Store::look).transpose();
             match news {
-                Ok(Some(Some(said))) => {
-                    self.apply(said).await;
-                    self.leave_learned().await;
-                }
+                Ok(Some(Some(said))) => drop(self.apply(said).await),
                 Ok(_) => {}
                 Err(cause) => tracing::error!(%cause, "what operators have said can't be read"),
             }
+            // News or not: a call that changes the store after a newer process has joined takes that news with it.
+            self.leave_learned().await;
             if !self.serving.get() && self.could_serve() {
                 self.recall_learned().await;
                 self.announce().await;
@@ -151,11 +161,12 @@
     /// Ends once clients may be accepted: at once, unless an older process of this balancer still serves them and this
     /// one could not do so well yet.
     pub async fn opens(&self) {
-        let older = self.others(|said, me| said.before(me).collect());
-        if older {
+        let older = || self.others(|said, me| said.before(me).collect());
+        if older() {
             tracing::info!("an older process of this balancer serves until this one can");
         }
-        while older && !self.serving.get() {
+        // Asked again each time: with the older one dead nobody else answers, not even that nobody can serve.
+        while !self.serving.get() && older() {
             sleep(BUSY_STEP).await;
         }
     }
@@ -182,7 +193,7 @@
             return;
         }
         self.left_to.set(newest);
-        let Some(learned) = self.engine.learned().await else { return };
+        let Some(learned) = self.balancer.learned().await else { return };
         let Ok(text) = serde_json::to_vec(&learned) else { return };
         if let Some(Err(cause)) = self.store.borrow().as_ref().map(|s| s.leave(me.number, &text)) {
             tracing::warn!(%cause, "what was learned can't be left to the next process");
@@ -198,7 +209,7 @@
                 self.started.as_ref().and_then(|me| self.said.borrow().before(me.number).next());
             let left = number.and_then(|n| self.store.borrow().as_ref().and_then(|s| s.left(n)));
             if let Some(learned) = left.and_then(|text| serde_json::from_slice(&text).ok()) {
-                self.engine.recall(learned);
+                self.balancer.recall(learned);
                 return;
             }
             if Instant::now() >= until {
@@ -210,7 +221,7 @@
     }
 
     fn could_serve(&self) -> bool {
-        self.engine.ready() && (self.engine.heard() || self.since.elapsed() >= FIRST_WORD)
+        self.balancer.ready() && (self.balancer.heard() || self.since.elapsed() >= FIRST_WORD)
     }
 
     async fn announce(&self) {
@@ -246,7 +257,7 @@
     fn health(&self) -> Response<Full<Bytes>> {
         // The word of the store comes before the word of the engine: an older process must find this one when
         // it is told to end.
-        if self.serving.get() && self.engine.ready() {
+        if self.serving.get() && self.balancer.ready() {
             word(StatusCode::OK, "")
         } else {
             word(StatusCode::SERVICE_UNAVAILABLE, "no upstream to send to yet")
@@ -256,7 +267,7 @@
     async fn grant(&self, call: Call) -> Response<Full<Bytes>> {
         tracing::info!(?call, "an operator calls");
         if let Call::Cordon(name) | Call::Uncordon(name) = &call
-            && !self.engine.has_named(name.clone()).await
+            && !self.balancer.has_named(name.clone()).await
         {
             return word(StatusCode::NOT_FOUND, "no list has named this upstream");
         }
@@ -294,8 +305,8 @@
     /// Does what stands. Nothing is waited for before the engine is told, so that it is told in the order in which
     /// the store changed.
     async fn apply(&self, said: Said) -> bool {
-        self.front.quiesce(said.quiesced);
-        let cordoned = self.engine.cordon(said.cordoned.clone());
+        self.balancer.quiesce(said.quiesced);
+        let cordoned = self.balancer.cordon(said.cordoned.clone());
         *self.said.borrow_mut() = said;
         cordoned.await
     }
@@ -324,3 +335,63 @@
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A balancer that does nothing, and has an upstream or none.
+    struct Idle {
+        ready: bool,
+    }
+
+    impl Operated for Idle {
+        fn ready(&self) -> bool {
+            self.ready
+        }
+        fn heard(&self) -> bool {
+            self.ready
+        }
+        async fn has_named(&self, _: String) -> bool {
+            true
+        }
+        async fn cordon(&self, _: BTreeSet<String>) -> bool {
+            true
+        }
+        fn quiesce(&self, _: bool) {}
+        async fn learned(&self) -> Option<Learned> {
+            Some(Learned::default())
+        }
+        fn recall(&self, _: Learned) {}
+    }
+
+    async fn joined(dir: &tempfile::TempDir, ready: bool) -> Rc<Operators<Idle>> {
+        let store = Store::open(dir.path()).expect("a store");
+        Operators::join(Idle { ready }, Some(store)).await.expect("it joins")
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_was_learned_is_left_though_a_call_comes_before_the_next_look() {
+        let dir = tempfile::tempdir().expect("a directory");
+        let old = joined(&dir, true).await;
+        let mut store = Store::open(dir.path()).expect("a store");
+        let (_new, _) = store.start().expect("a newer process joins");
+        assert_eq!(old.grant(Call::Quiesce).await.status(), StatusCode::OK);
+        let me = old.started.as_ref().expect("it has a store").number;
+        let _ = timeout(10 * LOOK, old.follow()).await;
+        assert!(store.left(me).is_some(), "the newer process would start from nothing");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn with_the_older_process_dead_one_opens_that_can_serve_nobody_yet() {
+        let dir = tempfile::tempdir().expect("a directory");
+        let mut store = Store::open(dir.path()).expect("a store");
+        let (older, _) = store.start().expect("an older process joins");
+        let new = joined(&dir, false).await;
+        let opens = new.opens();
+        tokio::pin!(opens);
+        assert!(timeout(10 * LOOK, &mut opens).await.is_err(), "the older one serves");
+        drop(older);
+        timeout(10 * LOOK, &mut opens).await.expect("nobody else answers clients");
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,17 +1,19 @@
 //! One balancer from its start to its end. What signals mean, and where the configuration lies, is the
 //! program's to say.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::rc::Rc;
 
 use hollowpaddle_net::{Listener, Network};
 use hollowpaddle_operations::StoreError;
+use hollowpaddle_policy::learned::Learned;
 use tokio::sync::mpsc;
 
 use crate::clients::Front;
 use crate::config::Config;
-use crate::engine::{Engine, EngineError};
-use crate::operators::{Operating, Operators};
+use crate::engine::{Door, Engine, EngineError};
+use crate::operators::{Operated, Operating, Operators};
 use crate::tasks::AbortOnDrop;
 use crate::upstreams::Pool;
 
@@ -29,6 +31,36 @@
     EngineEnded,
 }
 
+/// What operators do reaches the engine and the front.
+struct Machine {
+    engine: Door,
+    front: Rc<Front>,
+}
+
+impl Operated for Machine {
+    fn ready(&self) -> bool {
+        self.engine.ready()
+    }
+    fn heard(&self) -> bool {
+        self.engine.heard()
+    }
+    fn has_named(&self, name: String) -> impl Future<Output = bool> {
+        self.engine.has_named(name)
+    }
+    fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool> {
+        self.engine.cordon(names)
+    }
+    fn quiesce(&self, quiesced: bool) {
+        self.front.quiesce(quiesced);
+    }
+    fn learned(&self) -> impl Future<Output = Option<Learned>> {
+        self.engine.learned()
+    }
+    fn recall(&self, learned: Learned) {
+        self.engine.recall(learned);
+    }
+}
+
 /// Serves clients on `listener`, and reaches all else by `network`, until `stop`, then finishes what was taken. Each
 /// configuration that comes on `reloads` moves the watch to the discovery it names. Operators come by `operating`.
 /// Must run inside a `LocalSet`.
@@ -50,9 +82,10 @@
             reload(new.discovery);
         }
     }));
-    let door = handle.door();
+    let engine_door = handle.door();
     let front = Rc::new(Front::new(&config, handle, &budget));
-    let operators = Operators::join(door, front.clone(), operating.store).await?;
+    let machine = Machine { engine: engine_door, front: front.clone() };
+    let operators = Operators::join(machine, operating.store).await?;
     let _follows = AbortOnDrop(tokio::task::spawn_local(operators.clone().follow()));
     let _calls = operating.listener.map(|listener| {
         AbortOnDrop(tokio::task::spawn_local(operators.clone().take_calls(listener)))
