Bound the longest event before 10,000 upstreams, and end the differences from the oracle

Timed by parts, the longest event (395 and 504 us at load 0.6 and 1.3) was the timer's: the sort of all attempts that may be overdue (130 to 340 us, tens of times a second) and the walk over the whole ring for upstreams to try with more lanes (250 to 370 us). Now the former merges what has come to be so into what is in order, and the latter looks at its own stretch of the ring, every n-th where that is long. Where a fleet can't be swept in one event each event that follows looks at one, not at four.

4 of 100,000 days differed from the module that scanned: a send in the middle of a look took the last ordinary slot, lanes on trial opened, and repeats whose lane the look had closed did not hear of it.

--- a/crates/order/src/ring.rs
+++ b/crates/order/src/ring.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ring {
     places: Vec<Place>,
+    /// The parts that have places, in order, and where each begins.
+    parts: Vec<(u32, usize)>,
 }
 
 /// From so many changes at once on, all is sorted anew.
@@ -38,8 +40,10 @@
 
     /// All places of a part, as a range of indexes.
     pub fn part(&self, part: u32) -> std::ops::Range<usize> {
-        let from = self.places.partition_point(|p| p.part < part);
-        from..from + self.places[from..].partition_point(|p| p.part == part)
+        let at = self.parts.partition_point(|p| p.0 < part);
+        let begin = |at: usize| self.parts.get(at).map_or(self.places.len(), |p| p.1);
+        let there = self.parts.get(at).is_some_and(|p| p.0 == part);
+        begin(at)..begin(at + usize::from(there))
     }
 
     /// The index of a place, if it is there.
@@ -49,6 +53,16 @@
 
     /// Takes places out, and others in. What is not there is not taken out; nothing is there twice.
     pub fn change(&mut self, out: &[Place], into: &[Place]) {
+        self.change_places(out, into);
+        self.parts.clear();
+        let mut from = 0;
+        while let Some(part) = self.places.get(from).map(|p| p.part) {
+            self.parts.push((part, from));
+            from += self.places[from..].partition_point(|p| p.part == part);
+        }
+    }
+
+    fn change_places(&mut self, out: &[Place], into: &[Place]) {
         if out.len() + into.len() <= MANY {
             for place in out {
                 if let Ok(at) = self.places.binary_search(place) {
--- a/crates/policy/benches/scale.rs
+++ b/crates/policy/benches/scale.rs
@@ -1,5 +1,6 @@
 //! The table of `docs/scale.md`: microseconds a request and the longest event, before and after.
-//! `cargo bench -p hollowpaddle-policy --bench scale`.
+//! `cargo bench -p hollowpaddle-policy --bench scale`; with a load and a size behind `--`, that row of the kept module
+//! alone.
 
 mod fleet;
 
@@ -30,6 +31,11 @@
     if std::env::args().any(|a| a == "--test") {
         return;
     }
+    let numbers: Vec<f64> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    if let [load, n] = numbers[..] {
+        println!("| {load} | {n} | {} |", row::<Balancer>(n as u32, load));
+        return;
+    }
     println!(
         "| load | upstreams | scanned: us a request | longest, us | served, % | kept: us a request | longest, us | served, % |"
     );
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -96,12 +96,14 @@
 const ASK_JITTER_OF_EVERY: f64 = 0.05;
 /// A list call unanswered for this share of `ask_every` is made again.
 const ASK_AGAIN_OF_EVERY: f64 = 0.5;
-/// A sweep looks at so many upstreams and attempts at once, and leaves the rest to the events that follow, so
-/// many to each: no event may hold up those behind it.
-const SLICE: usize = 256;
+/// A sweep looks at a fleet of up to this size at once. Of a larger one it looks at a slice, and leaves the
+/// rest to the events that follow, one to each: no event may hold up those behind it.
+const WHOLE: usize = 256;
+const SLICE: usize = 64;
+/// Attempts that each event looks at, of those that may be overdue.
 const SLIVER: usize = 4;
 /// Most own upstreams among which some are tried with more lanes: enough to learn from.
-const MOST_TRIED: usize = 512;
+const MOST_TRIED: usize = 256;
 
 // ---------------------------------------------------------------- settings
 
@@ -291,9 +293,10 @@
             self.touch(now, i);
         }
         let part = self.up.own_part();
-        let own = part.clone().filter(|&j| self.up.reach(j, &part, FAR) <= OWN);
-        let own: Vec<usize> = own.map(|j| self.up.ring.at(j).slot).collect();
-        let own = own.iter().copied().step_by(own.len() / MOST_TRIED + 1);
+        let own = self.up.near(&part, OWN);
+        let own = own.clone().step_by(own.count() / MOST_TRIED + 1);
+        let own = own.filter(|&j| self.up.reach(j, &part, FAR) <= OWN);
+        let own = own.map(|j| self.up.ring.at(j).slot);
         let own: Vec<usize> = own.filter(|&i| self.fair(now, &self.up.servers[i])).collect();
         if own.is_empty() {
             return;
@@ -373,6 +376,10 @@
         *mean += (latency - *mean) * gain;
     }
 
+    fn slice(&self) -> usize {
+        if self.up.ring.len() <= WHOLE { WHOLE } else { SLICE }
+    }
+
     /// The next so many upstreams of the sweep, all of a small fleet: what is known of each, and of all.
     fn sweep(&mut self, now: Time, most: usize, of: Sweep) {
         let all = self.up.ring.len();
@@ -617,7 +624,7 @@
             false => Lane::Again(class, self.bound(e)),
         };
         self.queue.hold(id, lane, at_head);
-        self.count_queued(class, 1);
+        self.up.count_queued(class, 1);
         if !fresh {
             self.queue.give_up_at(until, id);
         }
@@ -627,16 +634,7 @@
     fn release(&mut self, id: RequestId) {
         if let Some(class) = self.queue.get(id).filter(|e| e.held).map(|e| e.class) {
             self.queue.release(id);
-            self.count_queued(class, -1);
-        }
-    }
-
-    fn count_queued(&mut self, class: usize, change: isize) {
-        let own = self.up.room_of[class];
-        for (r, room) in self.up.rooms.iter_mut().enumerate() {
-            if r == 0 || r == own {
-                room.queued = room.queued.saturating_add_signed(change);
-            }
+            self.up.count_queued(class, -1);
         }
     }
 
@@ -656,8 +654,15 @@
                 self.queue.step_back(id);
                 continue;
             }
-            match self.pick(now, id, self.is_full(e.class)) {
-                Ok(server) => self.send(now, id, server, out),
+            let (class, full) = (e.class, self.is_full(e.class));
+            match self.pick(now, id, full) {
+                Ok(server) => {
+                    self.send(now, id, server, out);
+                    // With the last ordinary slot taken, lanes on trial open to repeats behind it.
+                    if !full && self.is_full(class) {
+                        look.reopen();
+                    }
+                }
                 // It can't go for reasons of its own: look behind it.
                 Err(Stuck::Itself) => look.pass(),
                 Err(Stuck::NoneFree) => look.close(),
@@ -797,8 +802,11 @@
         if a.outcome == Outcome::Ok && !tried {
             self.learn_means(class, latency);
         }
-        if a.outcome == Outcome::Ok {
-            self.count_served(now, server);
+        // What warm upstreams served counts, not what they were sent: in a storm of refusals the sends of a
+        // bank add up to a multiple of what any upstream can do.
+        let s = &self.up.servers[server];
+        if a.outcome == Outcome::Ok && self.cold_share(now, s).is_none() {
+            self.fleet.warm_served[s.kind as usize] += 1.0;
         }
         let mean = self.fleet.mean[class];
         let mean = if mean > 0.0 { mean } else { self.fleet.ts };
@@ -1049,16 +1057,6 @@
         }
     }
 
-    /// Counts what warm upstreams served, not what they were sent: in a storm of refusals the sends of a bank
-    /// add up to a multiple of what any upstream can do.
-    fn count_served(&mut self, now: Time, server: usize) {
-        let s = &self.up.servers[server];
-        if self.cold_share(now, s).is_some() {
-            return;
-        }
-        self.fleet.warm_served[s.kind as usize] += 1.0;
-    }
-
     fn refresh_warm(&mut self, now: Time) {
         let elapsed = now.since(self.fleet.counted).f();
         self.fleet.counted = now;
@@ -1148,7 +1146,7 @@
         if !std::mem::replace(&mut self.started, true) {
             self.start(now, out);
         }
-        for _ in 0..SLICE {
+        for _ in 0..self.slice() {
             let Some(server) = self.up.alarms.due(now.0) else { break };
             self.touch(now, server);
         }
@@ -1158,7 +1156,7 @@
             self.ripen(now, SLIVER);
             self.watch(now, SLIVER);
             if self.owed > 0 {
-                self.sweep(now, SLIVER.min(self.owed), Sweep::Rest);
+                self.sweep(now, 1, Sweep::Rest);
             }
         }
         match event {
@@ -1195,10 +1193,11 @@
         if token != SWEEP {
             return;
         }
-        self.ripen(now, SLICE);
+        let slice = self.slice();
+        self.ripen(now, slice);
         self.out.begin();
-        self.watch(now, SLICE);
-        self.sweep(now, SLICE, Sweep::Timer);
+        self.watch(now, slice);
+        self.sweep(now, slice, Sweep::Timer);
         self.expire(now, out);
         self.dispatch(now, out);
         let late = |s: &Server| s.status == Status::Live || now > s.close_until;
@@ -1268,7 +1267,7 @@
             }
             self.refresh(now, c.server);
         }
-        self.sweep(now, SLICE, Sweep::List);
+        self.sweep(now, self.slice(), Sweep::List);
         self.dispatch(now, out);
     }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -34,6 +34,7 @@
 /// The lanes as one look through the queue goes: how far it is in each that it has not closed.
 pub(crate) struct Look {
     open: Vec<(Lane, Option<Turn>)>,
+    closed: Vec<Lane>,
     head: usize,
     turn: Option<Turn>,
 }
@@ -207,7 +208,7 @@
     pub(crate) fn look(&self) -> Look {
         let open = if self.waiting.is_empty() { Vec::new() } else { self.waiting.lanes() };
         let open = open.into_iter().map(|lane| (lane, None)).collect();
-        Look { open, head: 0, turn: None }
+        Look { open, closed: Vec::new(), head: 0, turn: None }
     }
 
     /// The first by order of arrival of all that the look has not passed.
@@ -230,7 +231,15 @@
 
     /// Nor can anyone behind it in its lane.
     pub(crate) fn close(&mut self) {
-        self.open.swap_remove(self.head);
+        let (lane, _) = self.open.swap_remove(self.head);
+        self.closed.push(lane);
+    }
+
+    /// Repeats behind the latest head may go again.
+    pub(crate) fn reopen(&mut self) {
+        let behind = self.turn;
+        let again = |lane: &mut Lane| matches!(lane, Lane::Again(..));
+        self.open.extend(self.closed.extract_if(.., again).map(|lane| (lane, behind)));
     }
 }
 
@@ -239,8 +248,11 @@
 pub(crate) struct Out {
     /// By class, in the order of sending, which is that of coming due. Some have ended.
     young: Vec<VecDeque<Watched>>,
-    /// Those that may be due, all classes in the order of sending.
+    /// Those that may be due, all classes in the order of sending: what this round has not looked at, and behind it
+    /// what it has kept.
     ripe: VecDeque<Watched>,
+    /// Those that have come to be so since the round began.
+    fresh: Vec<Watched>,
     sent: u64,
     /// How many of the ripe ones this round has not looked at.
     left: usize,
@@ -248,7 +260,13 @@
 
 impl Out {
     pub(crate) fn new(classes: usize) -> Self {
-        Self { young: vec![VecDeque::new(); classes], ripe: VecDeque::new(), sent: 0, left: 0 }
+        Self {
+            young: vec![VecDeque::new(); classes],
+            ripe: VecDeque::new(),
+            fresh: Vec::new(),
+            sent: 0,
+            left: 0,
+        }
     }
 
     /// One has been sent.
@@ -268,14 +286,23 @@
         for _ in 0..most {
             let Some(w) = self.young[class].pop_front_if(|w| w.sent <= by) else { return };
             if out(&w) {
-                self.ripe.push_back(w);
+                self.fresh.push(w);
             }
         }
     }
 
-    /// Begins a round over the ripe ones.
+    /// Begins a round over the ripe ones. Failure: all of them sorted anew, tens of times a second, was the longest
+    /// event before large fleets.
     pub(crate) fn begin(&mut self) {
-        self.ripe.make_contiguous().sort_unstable_by_key(|w| w.order);
+        // What was kept was sent before what was not reached.
+        self.ripe.rotate_left(self.left);
+        self.fresh.sort_unstable_by_key(|w| w.order);
+        if let Some(first) = self.fresh.first() {
+            let from = self.ripe.partition_point(|w| w.order < first.order);
+            self.ripe.extend(self.fresh.drain(..));
+            // Two runs: a merge.
+            self.ripe.make_contiguous()[from..].sort_by_key(|w| w.order);
+        }
         self.left = self.ripe.len();
     }
 
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -269,6 +269,16 @@
         }
     }
 
+    /// Counts a held request, or one that is held no more, in the rooms that its class has a part in.
+    pub(crate) fn count_queued(&mut self, class: usize, change: isize) {
+        let own = self.room_of[class];
+        for (r, room) in self.rooms.iter_mut().enumerate() {
+            if r == 0 || r == own {
+                room.queued = room.queued.saturating_add_signed(change);
+            }
+        }
+    }
+
     /// Live ones, and how many of them do not rest.
     pub(crate) fn standing(&self, now: Time) -> (usize, usize) {
         let all = (0..self.ring.len()).map(|j| &self.servers[self.ring.at(j).slot]);
@@ -302,13 +312,37 @@
     /// parts of the bank. One across zones, where crossing has a price, is `far` farther. The points of any run of
     /// proxies, or of every n-th, are spread evenly (multiples of the golden ratio).
     pub(crate) fn reach(&self, index: usize, part: &Range<usize>, far: f64) -> f64 {
+        let (own, banks) = self.point();
+        let d = (((index - part.start) as f64 + 0.5) / part.len() as f64 - own).abs();
+        let across = self.priced() && self.ring.at(index).part != self.settings.zone;
+        d.min(1.0 - d) * banks + if across { far } else { 0.0 }
+    }
+
+    /// Where on each part of the ring this proxy's own point lies, from 0 to 1, and how many proxies share a part.
+    fn point(&self) -> (f64, f64) {
         let s = &self.settings;
-        let own = (f64::from(s.position) * GOLDEN).fract();
         let zones = if self.priced() { f64::from(s.zones.max(1)) } else { 1.0 };
-        let banks = f64::from(s.balancers) / zones;
-        let d = (((index - part.start) as f64 + 0.5) / part.len() as f64 - own).abs();
-        let across = self.priced() && self.ring.at(index).part != s.zone;
-        d.min(1.0 - d) * banks.max(1.0) + if across { far } else { 0.0 }
+        ((f64::from(s.position) * GOLDEN).fract(), (f64::from(s.balancers) / zones).max(1.0))
+    }
+
+    /// The indexes of this part of the ring that may lie within so many even parts of this proxy's own point, in
+    /// order: those that do, and a few beside them.
+    pub(crate) fn near(
+        &self,
+        part: &Range<usize>,
+        reach: f64,
+    ) -> impl Iterator<Item = usize> + Clone + use<> {
+        let (own, banks) = self.point();
+        let all = part.len() as f64;
+        let (first, last) = ((own - reach / banks) * all - 2.0, (own + reach / banks) * all + 2.0);
+        // What runs over one end of the ring goes on at the other.
+        let (first, last) = if last - first >= all { (0.0, all) } else { (first, last) };
+        let clip = |from: f64, to: f64| {
+            let at = |x: f64| part.start + x.clamp(0.0, all) as usize;
+            at(from)..at(to.ceil())
+        };
+        let (before, behind) = (clip(0.0, last - all), clip(first + all, all));
+        before.chain(clip(first, last)).chain(behind)
     }
 
     // ------------------------------------------------------------ the list
@@ -491,3 +525,42 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// So many live upstreams, as the proxy at this position of a bank sees them.
+    fn upstreams(n: u32, balancers: u32, position: u32, priced: bool) -> Upstreams {
+        let class = Class::safe(Span(1000), Span(2000));
+        let mut settings = Settings::basic(vec![class]);
+        (settings.balancers, settings.position) = (balancers, position);
+        (settings.zones, settings.zone) = (2, 1);
+        settings.prices.cross_zone = if priced { 0.1 } else { 0.0 };
+        let mut up = Upstreams::new(Arc::new(settings));
+        let name = |i: u32| u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let member = |i| Member { zone: i % 2, identity: name(i), ..Member::live(ServerId(i)) };
+        up.list(Time(0), ListKind::Whole, &(0..n).map(member).collect::<Vec<_>>());
+        up
+    }
+
+    #[test]
+    fn whoever_lies_near_is_found_without_a_look_at_all() {
+        for n in [0, 1, 2, 7, 64, 1000] {
+            for balancers in [1, 2, 3, 36, 300] {
+                for position in 0..balancers.min(40) {
+                    for priced in [false, true] {
+                        let up = upstreams(n, balancers, position, priced);
+                        let part = up.own_part();
+                        let close = |j: &usize| up.reach(*j, &part, 1.0) <= 0.5;
+                        let all: Vec<usize> = part.clone().filter(close).collect();
+                        let near: Vec<usize> = up.near(&part, 0.5).collect();
+                        let found: Vec<usize> = near.iter().copied().filter(close).collect();
+                        assert_eq!(found, all, "{n} before {position} of {balancers}");
+                        assert!(near.len() <= all.len() + 8, "{} for {}", near.len(), all.len());
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/policy/tests/indexed.rs
+++ b/crates/policy/tests/indexed.rs
@@ -320,11 +320,16 @@
     assert!(sum(|d| d.fails) > 100, "{} fails", sum(|d| d.fails));
 }
 
+/// Days on which a send in the middle of a look through the queue took the last ordinary slot. Failure: repeats that
+/// are bound alike waited behind the first of them that had found none, though lanes on trial had opened to them.
+#[test]
+fn lanes_on_trial_open_to_repeats_in_the_middle_of_a_look() {
+    for seed in [7077, 50_770, 54_711, 71_012] {
+        day(seed, 60, 300);
+    }
+}
+
 /// The long run: `cargo test --release -p hollowpaddle-policy --test indexed -- --ignored`.
-///
-/// One difference is known and left: within one look through the queue, repeats that are bound alike wait behind
-/// the first of them that found no slot, also if lanes on trial open to them a moment later. It takes a send in
-/// between that fills the last ordinary slot, and shows on a day in some ten thousand.
 #[test]
 #[ignore = "a minute: 100,000 days"]
 fn acts_as_the_module_that_scanned_on_a_hundred_thousand_days() {
@@ -345,5 +350,5 @@
     });
     let differ = differ.into_inner().expect("no panic while it was held");
     println!("days that differ: {differ:?}");
-    assert!(differ.len() <= 20, "{} days differ", differ.len());
+    assert!(differ.is_empty(), "{} days differ", differ.len());
 }
