Play clients that ask in turn or ask again, and the first seconds of a fresh balancer

The kit had open-loop clients that ask once: neither the first seconds before clients that wait for their answers, nor a storm of repeats could be played. Now [load] closed has so many clients ask one request after another, and [clients] repeat_share has some ask again, heeding Retry-After or not, marked or not; a request and its repeats count as one. Nothing else that is drawn moves.

--- a/crates/ctl/src/rehearse.rs
+++ b/crates/ctl/src/rehearse.rs
@@ -17,7 +17,7 @@
 use crate::in_process::InProcess;
 
 /// The scenarios that ship with the daemon.
-const SHIPPED: [(&str, &str); 8] = [
+const SHIPPED: [(&str, &str); 9] = [
     ("calm", include_str!("../../../rehearsals/calm.toml")),
     ("heatwave", include_str!("../../../rehearsals/heatwave.toml")),
     ("delivery-round", include_str!("../../../rehearsals/delivery-round.toml")),
@@ -25,13 +25,14 @@
     ("cold-morning", include_str!("../../../rehearsals/cold-morning.toml")),
     ("overlap", include_str!("../../../rehearsals/overlap.toml")),
     ("rolling-restart", include_str!("../../../rehearsals/rolling-restart.toml")),
+    ("first-seconds", include_str!("../../../rehearsals/first-seconds.toml")),
     ("ten-thousand", include_str!("../../../rehearsals/ten-thousand.toml")),
 ];
 
 #[derive(clap::Args)]
 pub struct Arguments {
     /// A scenario file, or the name of one that ships: calm, heatwave, delivery-round, dark-oviedo,
-    /// cold-morning, overlap, rolling-restart, ten-thousand.
+    /// cold-morning, overlap, rolling-restart, first-seconds, ten-thousand.
     #[arg(default_value = "heatwave")]
     scenario: String,
     /// What chance is drawn from; the same seed has the same plan.
--- a/crates/ctl/tests/rehearse.rs
+++ b/crates/ctl/tests/rehearse.rs
@@ -187,6 +187,51 @@
     assert!(told.contains("expected a scenario file or one of calm, heatwave"), "{told}");
 }
 
+fn service(day: &str) -> Value {
+    let done = rehearse(&[day, "--virtual", "--json", "-"]);
+    assert!(done.status.success(), "{}{}", text(&done.stdout), text(&done.stderr));
+    let report: Value = serde_json::from_slice(&done.stdout).expect("JSON");
+    report["service"].clone()
+}
+
+/// Requests in these parts of a run.
+fn sum(of: &Value, parts: std::ops::Range<usize>) -> u64 {
+    parts.map(|i| of[i].as_u64().expect("a count")).sum()
+}
+
+#[test]
+fn a_fresh_balancer_refuses_nobody_while_nodes_idle_and_soon_serves_as_it_will() {
+    let one = service("first-seconds");
+    assert_eq!(one["counts"]["in_time"], one["counts"]["asked"], "{one}");
+    let folder = Folder::new();
+    let day = include_str!("../../../rehearsals/first-seconds.toml");
+    for clients in [128, 200] {
+        let more = day.replace("closed = 64", &format!("closed = {clients}"));
+        let s = service(&folder.write("more.toml", &more));
+        let (first, later) = (sum(&s["served_over_time"], 0..2), sum(&s["served_over_time"], 6..8));
+        assert!(first as f64 >= 0.9 * later as f64, "{clients} clients: {first} against {later}");
+    }
+}
+
+#[test]
+fn clients_that_ask_again_are_served_more_and_counted_once() {
+    let folder = Folder::new();
+    let busy = SHORT.replace("of_capacity = 0.3", "of_capacity = 1.2");
+    let once = service(&folder.write("once.toml", &busy));
+    let again = |more: &str| {
+        let text = format!("{busy}\n[clients]\nrepeat_share = 1\nrepeats = 10\nrepeat_wait_ms = 50\n{more}");
+        service(&folder.write("again.toml", &text))
+    };
+    let (heeding, eager) = (again(""), again("heed_retry_after = false\n"));
+    let count = |s: &Value, of: &str| s["counts"][of].as_u64().expect("a count");
+    assert_eq!(count(&once, "repeats"), 0);
+    for s in [&heeding, &eager] {
+        assert!(count(s, "repeats") > 50, "{s}");
+        assert_eq!(count(s, "asked"), count(&once, "asked"), "a repeat is no request of its own");
+    }
+    assert!(count(&eager, "repeats") > count(&heeding, "repeats"), "{eager} {heeding}");
+}
+
 /// Seeds on which a sweep has found a broken rule; what it was is in docs/rehearsal.md.
 #[test]
 fn seeds_that_once_broke_a_rule_break_none() {
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::record::Seen;
+use crate::scenario::Effect;
 use crate::stage::{Stage, Who};
 use crate::wire::{Ended, Message, Side, Talk};
 
@@ -31,6 +32,16 @@
     last: Option<u32>,
 }
 
+/// What a client knows of its request in the end.
+enum End {
+    /// It was served, or its client has gone.
+    Over,
+    /// It never ran; when to come again, if that was said.
+    NotRun { retry_after: Option<Duration> },
+    /// It was not served, and may have run.
+    Failed,
+}
+
 struct Door {
     address: Cell<SocketAddr>,
     taken_in: Cell<bool>,
@@ -99,23 +110,50 @@
         (!all.is_empty()).then(|| all[(draw % all.len() as u64) as usize])
     }
 
-    /// One client's request, from the front to its end.
-    pub async fn ask(self: Rc<Self>, request: u32) {
+    /// One client's request, from the front to its end, and its repeats.
+    pub async fn ask(self: Rc<Self>, first: u32) {
         let stage = &self.stage;
         stage.open.set(stage.open.get() + 1);
-        match self.choose(request) {
-            Some(balancer) => self.ask_at(balancer, request).await,
-            None => stage.record.saw(Seen::Unreachable { request, balancer: usize::MAX }),
+        let (class, repeats) = (stage.class(first), &stage.scenario.clients.repeats);
+        let until = Instant::now() + class.deadline;
+        let mut request = first;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let end = match self.choose(request) {
+                Some(balancer) => self.ask_at(balancer, request, left).await,
+                None => self.unreachable(usize::MAX, request),
+            };
+            // What may have run is repeated where that does no harm.
+            let harmless = match end {
+                End::Over => false,
+                End::NotRun { .. } => true,
+                End::Failed => class.effect != Effect::Unsafe,
+            };
+            let Some(next) = stage.arrival(request).again.filter(|_| harmless) else { break };
+            let advice = if let End::NotRun { retry_after } = end { retry_after } else { None };
+            let draw = (stage.arrival(next).entry >> 32) as f64 / f64::from(u32::MAX);
+            let wait = repeats.wait.mul_f64(0.5 + draw);
+            let wait = advice.filter(|_| repeats.heed).unwrap_or(wait);
+            if Instant::now() + wait >= until {
+                break;
+            }
+            sleep(wait).await;
+            request = next;
         }
         stage.open.set(stage.open.get() - 1);
     }
 
-    async fn ask_at(&self, balancer: usize, request: u32) {
+    fn unreachable(&self, balancer: usize, request: u32) -> End {
+        self.stage.record.saw(Seen::Unreachable { request, balancer });
+        End::NotRun { retry_after: None }
+    }
+
+    /// Asks once; the client waits for as long as is `left`.
+    async fn ask_at(&self, balancer: usize, request: u32, left: Duration) -> End {
         let stage = &self.stage;
         let door = &self.doors[balancer];
         // Its client comes once there is a connection to be had.
-        let Ok(_place) = door.places.acquire().await else { return };
-        let class = stage.class(request);
+        let Ok(_place) = door.places.acquire().await else { return End::Over };
         let mut again = false;
         loop {
             let kept = if again { None } else { self.idle(balancer).await };
@@ -124,23 +162,21 @@
                 Some(kept) => Some(kept),
                 None => self.connect(balancer).await,
             };
-            let Some(mut kept) = kept else {
-                return stage.record.saw(Seen::Unreachable { request, balancer });
-            };
-            let text = stage.request_text(request, class.deadline);
+            let Some(mut kept) = kept else { return self.unreachable(balancer, request) };
+            let text = stage.request_text(request, left);
             if kept.talk.write(text.as_bytes()).await.is_err() {
                 if reused {
                     again = true;
                     continue; // Closed before it was sent.
                 }
-                return stage.record.saw(Seen::Unreachable { request, balancer });
+                return self.unreachable(balancer, request);
             }
             let start = kept.start;
             let class_index = stage.arrival(request).class;
             stage.record.saw(Seen::Sent { request, balancer, start, class: class_index, again });
             kept.last = Some(request);
             let (sent, leaves) = (Instant::now(), stage.arrival(request).leaves);
-            let answer = timeout_at(sent + class.deadline + PATIENCE, async {
+            let answer = timeout_at(sent + left + PATIENCE, async {
                 tokio::select! {
                     biased;
                     answer = kept.talk.message(Side::Answers) => Some(answer),
@@ -153,10 +189,16 @@
                 }
             });
             match answer.await {
-                Err(_) => return stage.record.saw(Seen::GaveUp { request }),
-                Ok(None) => return stage.record.saw(Seen::Left { request }),
+                Err(_) => {
+                    stage.record.saw(Seen::GaveUp { request });
+                    return End::Failed;
+                }
+                Ok(None) => {
+                    stage.record.saw(Seen::Left { request });
+                    return End::Over;
+                }
                 Ok(Some(Ok(message))) => {
-                    self.answered(request, &message);
+                    let end = self.answered(request, &message);
                     if kept.talk.left_over() > 0 {
                         let bytes = kept.talk.left_over();
                         let request = Some(request);
@@ -164,7 +206,7 @@
                     } else if !message.closes() {
                         door.idle.borrow_mut().push(kept);
                     }
-                    return;
+                    return end;
                 }
                 // It crossed with the close of a connection that had idled.
                 Ok(Some(Err(Ended::Closed { inside: false } | Ended::Reset { inside: false })))
@@ -173,16 +215,18 @@
                     again = true
                 }
                 Ok(Some(Err(Ended::Closed { inside } | Ended::Reset { inside }))) => {
-                    return stage.record.saw(Seen::Broken { request, begun: inside });
+                    stage.record.saw(Seen::Broken { request, begun: inside });
+                    return End::Failed;
                 }
                 Ok(Some(Err(Ended::Malformed(_)))) => {
-                    return stage.record.saw(Seen::Broken { request, begun: true });
+                    stage.record.saw(Seen::Broken { request, begun: true });
+                    return End::Failed;
                 }
             }
         }
     }
 
-    fn answered(&self, request: u32, message: &Message) {
+    fn answered(&self, request: u32, message: &Message) -> End {
         // The body of a node's answer names the request and the attempt.
         let text = String::from_utf8_lossy(&message.body);
         let attempt = match text.split_once(' ') {
@@ -193,6 +237,11 @@
         let retry_after_ms = seconds.map(|s| (s * 1e3) as u64);
         let status = message.status();
         self.stage.record.saw(Seen::Answered { request, status, attempt, retry_after_ms });
+        match status {
+            200 => End::Over,
+            429 | 503 => End::NotRun { retry_after: retry_after_ms.map(Duration::from_millis) },
+            _ => End::Failed,
+        }
     }
 
     /// A kept connection on which all is quiet. One on which something came unasked is told of.
--- a/crates/rehearsal/src/judge/service.rs
+++ b/crates/rehearsal/src/judge/service.rs
@@ -1,5 +1,7 @@
 //! How clients were served: worth answered in time over worth asked for, as a whole and where it was worst.
 
+use std::time::Duration;
+
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -16,7 +18,7 @@
 /// How many requests ended how.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
-    /// Asked for by clients.
+    /// Asked for by clients. A request and its repeats are one, from the first's sending to the last's end.
     pub asked: u64,
     /// 200 within the class's aim.
     pub in_time: u64,
@@ -32,6 +34,8 @@
     pub unreachable: u64,
     /// The client went away first.
     pub left: u64,
+    /// Repeats that clients made, over all classes.
+    pub repeats: u64,
     /// Whole requests that reached nodes.
     pub attempts: u64,
     /// Of those, turned away by their nodes.
@@ -68,6 +72,10 @@
     pub classes: Vec<ClassService>,
     /// Over time, in equal parts of the run.
     pub over_time: Vec<Option<f64>>,
+    /// Requests served in each of these parts, by when they were asked for.
+    pub served_over_time: Vec<u64>,
+    /// And not served.
+    pub unserved_over_time: Vec<u64>,
     /// Seconds that one of these parts lasts.
     pub part_s: f64,
 }
@@ -121,19 +129,37 @@
         }
     }
     let seconds = case.scenario.length.as_secs_f64();
+    let closed = case.scenario.load.closed.is_some();
+    let zero = sent.iter().flatten().min().copied().unwrap_or_default();
     let parts = POINTS.min((seconds as usize).max(1));
     let mut whole = Sum::default();
     let mut by_second = vec![Sum::default(); seconds.ceil() as usize + 1];
     let mut over_time = vec![Sum::default(); parts];
+    let (mut served_over_time, mut unserved_over_time) = (vec![0; parts], vec![0; parts]);
     let mut by_class = vec![(Sum::default(), Counts::default()); classes.len()];
     let histogram = || Histogram::<u64>::new_with_bounds(1, LONGEST, 3).ok();
     let mut latency: Vec<Option<Histogram<u64>>> = classes.iter().map(|_| histogram()).collect();
-    for (i, arrival) in arrivals.iter().enumerate() {
+    for (i, arrival) in arrivals[..case.plan.firsts as usize].iter().enumerate() {
+        if closed && sent[i].is_none() && ended[i].is_none() {
+            continue; // No client had its turn.
+        }
+        // What counts is how the last of a request and its repeats ended.
+        let mut last = i;
+        while let Some(next) = arrivals[last].again.map(|n| n as usize)
+            && (sent[next].is_some() || ended[next].is_some())
+        {
+            last = next;
+            counts.repeats += 1;
+        }
+        let due = match sent[i] {
+            Some(at) if closed => Duration::from_micros(at.0 - zero.0),
+            _ => arrival.at,
+        };
         let class = &classes[arrival.class];
         let (sum, count) = &mut by_class[arrival.class];
         count.asked += 1;
         let took = |at: At| at.0 - sent[i].unwrap_or(at).0;
-        let got = match ended[i] {
+        let got = match ended[last] {
             Some(Outcome::Left) => {
                 count.left += 1;
                 continue;
@@ -163,10 +189,13 @@
         let (got, asked) = (got * class.worth, class.worth);
         sum.add(got, asked);
         whole.add(got, asked);
-        let second = arrival.at.as_secs() as usize;
-        by_second[second].add(got, asked);
-        let part = (arrival.at.as_secs_f64() / seconds * parts as f64) as usize;
-        over_time[part.min(parts - 1)].add(got, asked);
+        let second = due.as_secs() as usize;
+        by_second[second.min(seconds as usize)].add(got, asked);
+        let part = ((due.as_secs_f64() / seconds * parts as f64) as usize).min(parts - 1);
+        over_time[part].add(got, asked);
+        let served = matches!(ended[last], Some(Outcome::Answered(_, 200)));
+        let of = if served { &mut served_over_time } else { &mut unserved_over_time };
+        of[part] += 1;
     }
     let (worst_stretch_at_s, worst_stretch) = worst(&by_second, seconds as usize);
     let percentiles = |h: &Histogram<u64>| {
@@ -198,6 +227,8 @@
         counts,
         classes: by_class,
         over_time: over_time.into_iter().map(Sum::ratio).collect(),
+        served_over_time,
+        unserved_over_time,
         part_s: seconds / parts as f64,
     }
 }
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -8,7 +8,7 @@
 use rand_distr::{Distribution, Exp, LogNormal, Normal};
 use sha2::{Digest, Sha256};
 
-use crate::scenario::{Effect, FaultKind, Scenario, Selection, Shape};
+use crate::scenario::{Closed, Effect, FaultKind, Scenario, Selection, Shape};
 
 /// One client's request.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +27,10 @@
     pub entry: u64,
     /// When its client goes away, counted from its sending, if it does.
     pub leaves: Option<Duration>,
+    /// The request that its client makes if this one is not served, if it does.
+    pub again: Option<u32>,
+    /// The request that it repeats; its own place, if it repeats none.
+    pub first: u32,
 }
 
 /// One machine.
@@ -68,8 +72,11 @@
 pub struct Plan {
     /// What it was drawn from.
     pub seed: u64,
-    /// In order of time.
+    /// In order of time, and behind them the repeats that some may be followed by. In a closed loop the order is
+    /// that in which clients have their turns.
     pub arrivals: Vec<Arrival>,
+    /// How many of them are no repeats.
+    pub firsts: u32,
     /// Those of the start first, then the newcomers.
     pub machines: Vec<Machine>,
     /// In order of time.
@@ -84,6 +91,7 @@
 const SHAPE: u64 = 3;
 const FAULTS: u64 = 4;
 const BALANCERS: u64 = 5;
+const REPEATS: u64 = 6;
 
 /// Bursts of [`Shape::Bursty`] last so long.
 const BURST_S: f64 = 1.0;
@@ -109,10 +117,15 @@
     pub fn draw(scenario: &Scenario, seed: u64) -> Self {
         let mut machines = machines(scenario, &mut stream(seed, MACHINES));
         let acts = acts(scenario, seed, &mut machines);
-        let arrivals = arrivals(scenario, seed, &machines[..scenario.fleet.nodes]);
+        let mut arrivals = match scenario.load.closed {
+            Some(closed) => turns(scenario, seed, closed),
+            None => arrivals(scenario, seed, &machines[..scenario.fleet.nodes]),
+        };
+        let firsts = arrivals.len() as u32;
+        repeats(scenario, seed, &mut arrivals);
         let mut rng = stream(seed, BALANCERS);
         let balancer_seeds = (0..scenario.bank.count).map(|_| rng.next_u64()).collect();
-        Self { seed, arrivals, machines, acts, balancer_seeds }
+        Self { seed, arrivals, firsts, machines, acts, balancer_seeds }
     }
 
     /// SHA-256 over all that was drawn, in hexadecimal: equal plans have equal digests.
@@ -317,7 +330,36 @@
     let id = format!("{:016x}", rng.next_u64());
     let leaves = usual < scenario.clients.leave_share;
     let leaves = leaves.then(|| c.aim.mul_f64(when));
-    Arrival { at, class, work_ms, id, key, entry, leaves }
+    Arrival { at, class, work_ms, id, key, entry, leaves, again: None, first: 0 }
+}
+
+/// As many requests as clients of a closed loop can make at the very most.
+fn turns(scenario: &Scenario, seed: u64, closed: Closed) -> Vec<Arrival> {
+    let mut rng = stream(seed, ARRIVALS);
+    let shares: f64 = scenario.classes.iter().map(|c| c.share).sum();
+    let each = scenario.length.as_secs_f64() / closed.pause.as_secs_f64();
+    let all = closed.clients as usize * (each.ceil() as usize + 1);
+    (0..all).map(|_| arrival(scenario, Duration::ZERO, shares, &mut rng)).collect()
+}
+
+/// Adds the repeats that clients make, should it come to that.
+fn repeats(scenario: &Scenario, seed: u64, arrivals: &mut Vec<Arrival>) {
+    let mut rng = stream(seed, REPEATS);
+    let of = &scenario.clients.repeats;
+    for first in 0..arrivals.len() {
+        arrivals[first].first = first as u32;
+        if of.share == 0.0 || rng.random::<f64>() >= of.share {
+            continue;
+        }
+        let mut last = first;
+        for _ in 0..of.most {
+            let (entry, id) = (rng.next_u64(), format!("{:016x}", rng.next_u64()));
+            let next = Arrival { id, entry, again: None, ..arrivals[first].clone() };
+            arrivals[last].again = Some(arrivals.len() as u32);
+            last = arrivals.len();
+            arrivals.push(next);
+        }
+    }
 }
 
 /// What a class's requests look like on the wire.
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -154,7 +154,8 @@
         let n = &s.counts;
         writeln!(
             out,
-            "attempts {} ({:.3} a request), turned away {}, cold nodes fallen over {}",
+            "repeats {}, attempts {} ({:.3} a request), turned away {}, cold nodes fallen over {}",
+            n.repeats,
             n.attempts,
             n.attempts as f64 / (n.asked.max(1)) as f64,
             n.turned_away,
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -1,6 +1,6 @@
 //! One run from the first start to the last answer: who is there, when clients come, and who strikes whom.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::plan::{Act, Plan};
 use crate::record::{At, Line, Phase, Seen};
-use crate::scenario::{FaultKind, Scenario};
+use crate::scenario::{Closed, FaultKind, Scenario};
 use crate::stage::{Ground, Stage};
 
 /// Clients come when all balancers are ready, or after this.
@@ -166,9 +166,14 @@
             }
         }
     });
-    for request in 0..stage.plan.arrivals.len() as u32 {
-        sleep_until(zero + stage.arrival(request).at).await;
-        spawn_local(clients.clone().ask(request));
+    match scenario.load.closed {
+        None => {
+            for request in 0..stage.plan.firsts {
+                sleep_until(zero + stage.arrival(request).at).await;
+                spawn_local(clients.clone().ask(request));
+            }
+        }
+        Some(closed) => take_turns(&stage, &clients, closed, zero),
     }
     sleep_until(zero + scenario.length).await;
     let longest = scenario.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
@@ -197,6 +202,23 @@
     })
 }
 
+/// Clients that ask one request after another until the load ends. Their starts are spread over one pause.
+fn take_turns(stage: &Rc<Stage>, clients: &Rc<Clients>, closed: Closed, zero: Instant) {
+    let turn = Rc::new(Cell::new(0));
+    let end = zero + stage.scenario.length;
+    for n in 0..closed.clients {
+        let (stage, clients, turn) = (stage.clone(), clients.clone(), turn.clone());
+        spawn_local(async move {
+            sleep_until(zero + closed.pause * n / closed.clients).await;
+            while Instant::now() < end && turn.get() < stage.plan.firsts {
+                let request = turn.replace(turn.get() + 1);
+                clients.clone().ask(request).await;
+                sleep(closed.pause).await;
+            }
+        });
+    }
+}
+
 impl World {
     async fn faults(self: Rc<Self>, zero: Instant) {
         for act in self.stage.plan.acts.clone() {
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -105,6 +105,24 @@
     pub leave_share: f64,
     /// Connections that the clients of one balancer open at most for requests.
     pub connections: u32,
+    /// What they do about requests that were not served.
+    pub repeats: Repeats,
+}
+
+/// How clients ask again. A repeat is a request of its own, with a new id and the time that is left of the first
+/// one's deadline; what may have run is repeated only where that does no harm.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Repeats {
+    /// Share of clients that do.
+    pub share: f64,
+    /// How often, at most.
+    pub most: u32,
+    /// Whether they wait for as long as `Retry-After` says,
+    pub heed: bool,
+    /// and for how long where it says nothing, or they do not heed it: half as long up to half as long again.
+    pub wait: Duration,
+    /// Whether they mark them, by `X-Retry: 1`.
+    pub marked: bool,
 }
 
 /// What repeating a request can do.
@@ -180,6 +198,17 @@
     pub shape: Shape,
     /// How far it goes up and down, as a share of the mean.
     pub swing: f64,
+    /// Instead of all that: clients that ask one request after another.
+    pub closed: Option<Closed>,
+}
+
+/// A closed loop.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Closed {
+    /// How many clients, each with at most one request out.
+    pub clients: u32,
+    /// From the end of one request of theirs to the next.
+    pub pause: Duration,
 }
 
 /// The node list: late, and one service for all balancers.
--- a/crates/rehearsal/src/scenario/read.rs
+++ b/crates/rehearsal/src/scenario/read.rs
@@ -12,6 +12,7 @@
 const MOST_NODES: u32 = 10_000;
 const MOST_BALANCERS: u32 = 100;
 const LONGEST_S: f64 = 24.0 * 3600.0;
+const MOST_REQUESTS: f64 = 5e6;
 
 const ONE: RangeInclusive<f64> = 0.0..=1.0;
 
@@ -66,14 +67,16 @@
         about: top.text("about", Some("")),
         length: top.time("length_s", 1.0..=LONGEST_S, None),
         bank,
-        clients: top
-            .table("clients")
-            .map(clients)
-            .unwrap_or(Clients { leave_share: 0.0, connections: 300 }),
+        clients: top.table("clients").map(clients).unwrap_or(Clients {
+            leave_share: 0.0,
+            connections: 300,
+            repeats: Repeats::default(),
+        }),
         load: top.table("load").map(load).unwrap_or(Load {
             of_capacity: 0.5,
             shape: Shape::Steady,
             swing: 0.0,
+            closed: None,
         }),
         list: list(top.table("list"), file),
         rules: rules(top.table("rules"), file),
@@ -81,6 +84,16 @@
         classes,
         faults,
     };
+    if let Some(Closed { clients, pause }) = scenario.load.closed {
+        let most = f64::from(clients) * (scenario.length.as_secs_f64() / pause.as_secs_f64() + 1.0);
+        if most > MOST_REQUESTS && !file.is_wrong() {
+            let what = format!(
+                "`load.closed` could ask {most:.0} requests, and {MOST_REQUESTS:.0} are the most: a shorter \
+                 `length_s`, fewer clients or a longer `load.pause_ms`"
+            );
+            top.wrong(&top.span_of("load"), what);
+        }
+    }
     top.finish();
     scenario
 }
@@ -143,6 +156,13 @@
     let clients = Clients {
         leave_share: t.number("leave_share", ONE, Some(0.0)),
         connections: t.whole("connections", 1..=100_000, Some(300)),
+        repeats: Repeats {
+            share: t.number("repeat_share", ONE, Some(0.0)),
+            most: t.whole("repeats", 0..=10, Some(2)),
+            heed: t.flag("heed_retry_after", true),
+            wait: t.time("repeat_wait_ms", 1.0..=60_000.0, Some(200.0)),
+            marked: t.flag("mark_repeats", true),
+        },
     };
     t.finish();
     clients
@@ -188,10 +208,20 @@
         ("ramp", Shape::Ramp),
         ("round", Shape::Round),
     ];
+    let closed = t.has("closed").then(|| Closed {
+        clients: t.whole("closed", 1..=100_000, None),
+        pause: t.time("pause_ms", 1.0..=60_000.0, Some(10.0)),
+    });
+    let open = closed.is_none();
+    if !open && let Some(key) = ["of_capacity", "shape", "swing"].into_iter().find(|k| t.has(k)) {
+        let what = format!("`{key}` means nothing for a closed loop; remove it, or `closed`");
+        t.wrong(&t.span_of(key), what);
+    }
     let load = Load {
-        of_capacity: t.number("of_capacity", 0.001..=100.0, None),
+        of_capacity: t.number("of_capacity", 0.001..=100.0, (!open).then_some(1.0)),
         shape: t.choice("shape", &shapes, Some(Shape::Steady)),
         swing: t.number("swing", ONE, Some(0.3)),
+        closed,
     };
     t.finish();
     load
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -204,6 +204,9 @@
             arrival.key,
             left.as_millis(),
         );
+        if arrival.first != request && self.scenario.clients.repeats.marked {
+            text.push_str("X-Retry: 1\r\n");
+        }
         if class.effect == Effect::Keyed {
             text.push_str(&format!("Idempotency-Key: {}\r\n", self.idempotency_key(request)));
         }
@@ -223,9 +226,9 @@
         format!("/api?of={}", self.arrival(request).id)
     }
 
-    /// Its key, for a keyed one.
+    /// Its key, for a keyed one; a repeat has that of the first.
     pub fn idempotency_key(&self, request: u32) -> String {
-        let arrival = self.arrival(request);
+        let arrival = self.arrival(self.arrival(request).first);
         format!("{:016x}{}", arrival.key, arrival.id)
     }
 
--- a/crates/rehearsal/src/sweep.rs
+++ b/crates/rehearsal/src/sweep.rs
@@ -14,8 +14,8 @@
 use crate::report::Report;
 use crate::run::{RunError, play_virtual};
 use crate::scenario::{
-    Bank, Class, Clients, Effect, Fault, FaultKind, Fleet, Group, Kind, ListService, Load, Rules,
-    Scenario, Selection, Shape,
+    Bank, Class, Clients, Effect, Fault, FaultKind, Fleet, Group, Kind, ListService, Load, Repeats,
+    Rules, Scenario, Selection, Shape,
 };
 
 /// What one seed came to.
@@ -92,12 +92,13 @@
             cross_zone: ms(rng.random_range(0..=8)),
         },
         bank: Bank { count, memory_mb: 64, sockets: 512, notice: ms(1500) },
-        clients: Clients { leave_share: 0.01, connections: 160 },
+        clients: Clients { leave_share: 0.01, connections: 160, repeats: Repeats::default() },
         classes,
         load: Load {
             of_capacity: 0.4 + 0.7 * rng.random::<f64>(),
             shape: shapes[rng.random_range(0..shapes.len())],
             swing: 0.4,
+            closed: None,
         },
         list: ListService {
             asked: rng.random::<f64>() < 0.8,
--- a/crates/rehearsal/tests/scenarios.rs
+++ b/crates/rehearsal/tests/scenarios.rs
@@ -123,6 +123,41 @@
     assert!(told.iter().any(|t| t.contains("later than the deadline")), "{told:?}");
 }
 
+#[test]
+fn a_closed_loop_has_no_shape_and_an_end() {
+    let closed = SOUND.replace("of_capacity = 0.5\nshape = \"wave\"", "closed = 8\npause_ms = 20");
+    let scenario = Scenario::read("day.toml", &closed).expect("sound");
+    let plan = Plan::draw(&scenario, 7);
+    // Nobody has more than one turn a pause.
+    assert_eq!(plan.arrivals.len(), 8 * (20_000 / 20 + 1));
+    let told = problems(&SOUND.replace("of_capacity = 0.5", "closed = 8"));
+    assert!(told.iter().any(|t| t.contains("`shape` means nothing for a closed loop")), "{told:?}");
+    let told =
+        problems(&closed.replace("closed = 8\npause_ms = 20", "closed = 9000\npause_ms = 1"));
+    assert!(told.iter().any(|t| t.contains("5000000 are the most")), "{told:?}");
+}
+
+#[test]
+fn repeats_follow_their_firsts_and_move_nothing_else() {
+    let with = SOUND.to_string() + "\n[clients]\nrepeat_share = 0.5\nrepeats = 2\n";
+    let draw = |text: &str| Plan::draw(&Scenario::read("day.toml", text).expect("sound"), 7);
+    let (with, without) = (draw(&with), draw(SOUND));
+    let firsts = with.firsts as usize;
+    assert_eq!(firsts, without.arrivals.len());
+    let repeats = with.arrivals.len() - firsts;
+    assert!((repeats as f64 / firsts as f64 - 1.0).abs() < 0.1, "{repeats} of {firsts}");
+    for (i, (a, b)) in with.arrivals.iter().zip(&without.arrivals).enumerate() {
+        assert_eq!((a.at, &a.id, a.entry, a.first), (b.at, &b.id, b.entry, i as u32));
+        if let Some(next) = a.again.map(|n| &with.arrivals[n as usize]) {
+            assert_eq!(
+                (next.first, next.class, next.key, next.work_ms),
+                (a.first, a.class, a.key, a.work_ms)
+            );
+            assert!(next.id != a.id && next.again.is_some());
+        }
+    }
+}
+
 #[test]
 fn a_plan_is_a_pure_function_of_scenario_and_seed() {
     let scenario = Scenario::read("day.toml", SOUND).expect("sound");
