--- a/crates/ctl/tests/rehearse.rs
+++ b/crates/ctl/tests/rehearse.rs
@@ -219,7 +219,9 @@
     let busy = SHORT.replace("of_capacity = 0.3", "of_capacity = 1.2");
     let once = service(&folder.write("once.toml", &busy));
     let again = |more: &str| {
-        let text = format!("{busy}\n[clients]\nrepeat_share = 1\nrepeats = 10\nrepeat_wait_ms = 50\n{more}");
+        let text = format!(
+            "{busy}\n[clients]\nrepeat_share = 1\nrepeats = 10\nrepeat_wait_ms = 50\n{more}"
+        );
         service(&folder.write("again.toml", &text))
     };
     let (heeding, eager) = (again(""), again("heed_retry_after = false\n"));
