--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -28,6 +28,7 @@
 use crate::relay::AnswerBody;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
+use crate::telling::Telling;
 use crate::upstreams::{Ended, Forward, Limit, Pool};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
@@ -86,6 +87,8 @@
         names: BTreeSet<String>,
         done: oneshot::Sender<()>,
     },
+    /// More of a long list is due to the module.
+    Part,
     /// What the module has learned.
     Learned(oneshot::Sender<Learned>),
     /// What another process of this balancer has.
@@ -284,6 +287,7 @@
     upstreams: Membership,
     /// Where the module is to know a part of the fleet only.
     subset: Option<Subsetting>,
+    telling: Telling,
     ready: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
     discovery: SocketAddr,
@@ -355,6 +359,7 @@
             pool,
             upstreams: Membership::new(config, grace.saturating_sub(DRAIN_MARGIN)),
             subset,
+            telling: Telling::default(),
             ready,
             heard,
             discovery: config.discovery,
@@ -434,6 +439,11 @@
             Note::Watched { serial, news } if serial == self.watch_serial => self.heard(news),
             Note::Watched { .. } => {}
             Note::Moved(discovery) => self.moved(discovery),
+            Note::Part if !self.telling.is_due() => {}
+            Note::Part => {
+                let list = self.telling.next();
+                self.tell_part(ListKind::Aside, &list);
+            }
             Note::Learned(reply) => drop(reply.send(self.balancer.learned())),
             Note::Recall(learned) => match self.balancer.recall(self.clock.now(), &learned) {
                 Ok(()) => tracing::info!("goes on from what an older process has learned"),
@@ -592,7 +602,16 @@
             Some(subset) => subset.listed(now, kind, &members),
             None => members,
         };
-        self.tell(Event::Members { kind, list: &list });
+        let part = self.telling.listed(kind, list);
+        self.tell_part(part.kind, &part.members);
+    }
+
+    /// Tells the module a part of a list. The rest follows behind whatever has come by now.
+    fn tell_part(&mut self, kind: ListKind, list: &[d::Member]) {
+        if self.telling.is_due() {
+            let _ = self.own_notes.send(Note::Part);
+        }
+        self.tell(Event::Members { kind, list });
     }
 
     /// Lets what has left the subset go, and widens it while too much of it is out of reach.
@@ -604,7 +623,8 @@
         let mut list = subset.passed(now);
         list.extend(subset.seen(now, all, well));
         if !list.is_empty() {
-            self.tell(Event::Members { kind: ListKind::Aside, list: &list });
+            let part = self.telling.listed(ListKind::Aside, list);
+            self.tell_part(part.kind, &part.members);
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod stream;
 mod subsetting;
 mod tasks;
+mod telling;
 mod upstreams;
 
 pub use config::{Config, ConfigError};
--- a/crates/policy/benches/fleet/mod.rs
+++ b/crates/policy/benches/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet in virtual time round one module: what the module itself costs, and nothing else.
 
+#![allow(dead_code)] // each bench uses its own part
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
@@ -80,7 +82,22 @@
     s
 }
 
+/// The whole list of a fleet of this size; `started` as its entries say.
+pub fn list(n: u32, started: Option<Time>) -> Vec<Member> {
+    let name = |i: u32| u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let member =
+        |i| Member { cell: i / 8, identity: name(i), started, ..Member::live(ServerId(i)) };
+    (0..n).map(member).collect()
+}
+
 impl<M: Module> Fleet<M> {
+    /// How long one whole list takes.
+    pub fn tell_list(&mut self, list: &[Member]) -> Duration {
+        self.longest = Duration::ZERO;
+        self.tell(Event::Members { kind: ListKind::Whole, list });
+        self.longest
+    }
+
     pub fn new(n: u32, load: f64) -> Self {
         let mut fleet = Self {
             module: M::new(settings()),
@@ -97,10 +114,7 @@
             served: 0,
             refused: 0,
         };
-        let name = |i: u32| u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let member = |i| Member { cell: i / 8, identity: name(i), ..Member::live(ServerId(i)) };
-        let list: Vec<Member> = (0..n).map(member).collect();
-        fleet.tell(Event::Members { kind: ListKind::Restored, list: &list });
+        fleet.tell(Event::Members { kind: ListKind::Restored, list: &list(n, None) });
         fleet.next_arrival();
         fleet
     }
--- a/crates/policy/benches/scale.rs
+++ b/crates/policy/benches/scale.rs
@@ -4,7 +4,8 @@
 
 mod fleet;
 
-use fleet::{Fleet, Module, scanning};
+use fleet::{Fleet, Module, list, scanning};
+use hollowpaddle_policy::interface::{Member, Time};
 use hollowpaddle_policy::policy::Balancer;
 
 /// Rounds; the longest event is the least over them, since the machine interrupts some.
@@ -26,6 +27,21 @@
     format!("{:.2} | {:.0} | {share:.0}", least(|r| r.0), least(|r| r.1))
 }
 
+/// What one whole list costs, in microseconds: one that changes nothing, one by which all have started anew, and one
+/// that names none of them any more.
+fn lists(n: u32) -> String {
+    let of = |list: &[Member]| {
+        let round = || {
+            let mut fleet = Fleet::<Balancer>::new(n, 0.6);
+            fleet.run(u64::from(n) * 2);
+            fleet.tell_list(list).as_secs_f64() * 1e6
+        };
+        (0..ROUNDS).map(|_| round()).fold(f64::MAX, f64::min)
+    };
+    let (same, anew) = (of(&list(n, None)), of(&list(n, Some(Time(1)))));
+    format!("{same:.0} | {anew:.0} | {:.0}", of(&[]))
+}
+
 fn main() {
     // `cargo test` builds benches too and runs them with this.
     if std::env::args().any(|a| a == "--test") {
@@ -34,6 +50,7 @@
     let numbers: Vec<f64> = std::env::args().filter_map(|a| a.parse().ok()).collect();
     if let [load, n] = numbers[..] {
         println!("| {load} | {n} | {} |", row::<Balancer>(n as u32, load));
+        println!("whole lists, us: {}", lists(n as u32));
         return;
     }
     println!(
@@ -51,4 +68,9 @@
             println!("| {load} | {n} | {was} | {} |", row::<Balancer>(n, load));
         }
     }
+    println!("\n| upstreams | the same list, us | all started anew, us | none left, us |");
+    println!("| --- | --- | --- | --- |");
+    for n in [64, 1024, 10_000] {
+        println!("| {n} | {} |", lists(n));
+    }
 }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -334,7 +334,7 @@
 }
 
 /// One entry of the list of upstreams.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Member {
     /// The caller's handle.
     pub id: ServerId,
