Add hollowpaddlectl load: a defined load, counted from when each request was due

Nobody could put a stated load on a daemon that runs. crates/load draws arrivals ahead (Poisson or even; steady, ramp, steps, bursts), sends them whatever became of those before, and counts latency from when a request was due; closed loops for comparison; its own lateness is told, and a run that it could not keep up with exits 1.

The reader of TOML fields is a package of its own now (crates/fields), moved out of the rehearsal.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,8 @@
 #![forbid(unsafe_code)]
 
 mod in_process;
+mod load;
+mod output;
 mod rehearse;
 
 use std::process::ExitCode;
@@ -22,6 +24,10 @@
     ///
     /// Exit codes: 0 no rule broken, 1 a rule broken, 2 bad input or a run that could not be played.
     Rehearse(rehearse::Arguments),
+    /// Put a defined load on a server that runs, and tell what came of it.
+    ///
+    /// Exit codes: 0 played, 1 played and the tool itself could not keep up, 2 bad input or nobody there.
+    Load(load::Arguments),
     /// The daemon itself, as a rehearsal starts it: by LB_* and nothing else.
     #[command(hide = true)]
     Daemon,
@@ -30,6 +36,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Command::Rehearse(arguments) => rehearse::run(&arguments),
+        Command::Load(arguments) => load::run(&arguments),
         Command::Daemon => hollowpaddle::main(),
     }
 }
--- a/crates/ctl/src/rehearse.rs
+++ b/crates/ctl/src/rehearse.rs
@@ -1,7 +1,6 @@
 //! `hollowpaddlectl rehearse`: reads a scenario, has it played and judged, and tells what happened.
 
-use std::fs::File;
-use std::io::{BufWriter, IsTerminal, Write};
+use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -15,6 +14,7 @@
 use hollowpaddle_rehearsal::sweep::{self, Swept};
 
 use crate::in_process::InProcess;
+use crate::output::{create, write_json};
 
 /// The scenarios that ship with the daemon.
 const SHIPPED: [(&str, &str); 9] = [
@@ -140,14 +140,6 @@
     Ok(format!("'{}' daemon", own.display().to_string().replace('\'', "'\\''")))
 }
 
-fn create(path: &Path) -> Result<Box<dyn Write>, String> {
-    if path == Path::new("-") {
-        return Ok(Box::new(std::io::stdout()));
-    }
-    let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    Ok(Box::new(BufWriter::new(file)))
-}
-
 fn keep(arguments: &Arguments, played: &Played, report: &Report) -> Result<(), String> {
     if let Some(path) = &arguments.trace {
         let mut out = create(path)?;
@@ -160,13 +152,6 @@
     Ok(())
 }
 
-fn write_json(path: &Path, value: &impl serde::Serialize) -> Result<(), String> {
-    let mut out = create(path)?;
-    let fail = |e: std::io::Error| format!("{}: {e}", path.display());
-    serde_json::to_writer_pretty(&mut out, value).map_err(|e| fail(e.into()))?;
-    out.write_all(b"\n").and_then(|()| out.flush()).map_err(fail)
-}
-
 fn swept(arguments: &Arguments, count: u64) -> Result<bool, String> {
     let shows = std::io::stderr().is_terminal();
     let (from, mut done, mut simulated) = (Instant::now(), 0, 0.0);
--- a/crates/ctl/tests/rehearse.rs
+++ b/crates/ctl/tests/rehearse.rs
@@ -170,6 +170,24 @@
     assert!(printed.contains("RULES BROKEN") && printed.contains("crashed"), "{printed}");
 }
 
+#[test]
+fn a_balancer_that_can_not_start_is_told_at_once_with_its_last_words() {
+    let folder = Folder::new();
+    let day = folder.write("short.toml", SHORT);
+    let from = std::time::Instant::now();
+    for (command, told) in [
+        ("nosuch-balancer", &["with code 127", "`nosuch-balancer`"][..]),
+        ("sh -c 'echo no room >&2; exit 3'", &["with code 3", "its last lines:\n  no room"]),
+        ("sh -c 'kill -9 $$'", &["by a signal", "it wrote nothing"]),
+    ] {
+        let done = rehearse(&[&day, "--balancer", command]);
+        let said = text(&done.stderr);
+        assert_eq!(done.status.code(), Some(2), "{said}");
+        assert!(told.iter().all(|t| said.contains(t)), "{said}");
+    }
+    assert!(from.elapsed().as_secs() < 25, "it waited for a balancer that had ended");
+}
+
 #[test]
 fn bad_input_is_told_whole_and_exit_2() {
     let folder = Folder::new();
--- a/crates/rehearsal/src/scenario/fields.rs
+++ b/crates/fields/src/lib.rs
@@ -1,4 +1,7 @@
-//! Reading TOML field by field, so that one pass finds every mistake and says where it is.
+//! Reading TOML field by field, so that one pass finds every mistake and says where it is. What the fields mean is for
+//! whoever reads them; a key that nobody asked for is a mistake too.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -49,10 +52,12 @@
 }
 
 impl<'a> File<'a> {
+    /// `name` is how messages call it.
     pub fn new(name: &'a str, text: &'a str) -> Self {
         Self { name, text, problems: RefCell::default() }
     }
 
+    /// Something is wrong at this byte.
     pub fn wrong(&self, at: usize, what: impl Into<String>) {
         self.problems.borrow_mut().push((at, what.into()));
     }
@@ -62,6 +67,7 @@
         !self.problems.borrow().is_empty()
     }
 
+    /// The line of this byte, from 1.
     pub fn line(&self, at: usize) -> usize {
         self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count() + 1
     }
@@ -82,10 +88,37 @@
     }
 }
 
+/// Reads a file by `read`, which asks its table for every field and ends with [`Table::finish`].
+///
+/// # Errors
+/// Everything that is wrong with it, each with its line, in the order of the file.
+pub fn read<T>(
+    name: &str,
+    text: &str,
+    read: impl for<'f, 'a> FnOnce(&'f File<'a>, &'f DeTable<'a>) -> T,
+) -> Result<T, Problems> {
+    let file = File::new(name, text);
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let at = error.span().map_or(0, |s| s.start);
+        file.wrong(at, format!("this is not TOML: {}", error.message().trim()));
+    }
+    // What a half-read file lacks is no mistake of its own.
+    if !errors.is_empty() {
+        return Err(file.problems().unwrap_or(Problems(Vec::new())));
+    }
+    let value = read(&file, table.get_ref());
+    match file.problems() {
+        None => Ok(value),
+        Some(problems) => Err(problems),
+    }
+}
+
 /// One table of it.
 pub struct Table<'f, 'a> {
     file: &'f File<'a>,
     table: &'f DeTable<'a>,
+    /// Where it stands, in bytes.
     pub span: Range<usize>,
     name: String,
     asked: RefCell<BTreeSet<&'static str>>,
@@ -113,6 +146,7 @@
 }
 
 impl<'f, 'a> Table<'f, 'a> {
+    /// The file's own table.
     pub fn top(file: &'f File<'a>, table: &'f DeTable<'a>) -> Self {
         let name = String::new();
         Self { file, table, span: 0..0, name, asked: RefCell::default() }
@@ -124,6 +158,7 @@
         Some((value.get_ref(), value.span()))
     }
 
+    /// Whether this key is there.
     pub fn has(&self, key: &'static str) -> bool {
         self.get(key).is_some()
     }
@@ -132,10 +167,12 @@
         if self.name.is_empty() { key.to_string() } else { format!("{}.{key}", self.name) }
     }
 
+    /// Something is wrong there.
     pub fn wrong(&self, at: &Range<usize>, what: impl Into<String>) {
         self.file.wrong(at.start, what);
     }
 
+    /// Its line, from 1.
     pub fn line(&self) -> usize {
         self.file.line(self.span.start)
     }
@@ -151,6 +188,7 @@
     }
 
     /// A number within a range; `default` where the file says nothing, and an error where that is `None`.
+    /// A number in this range; without a default it has to be there.
     pub fn number(
         &self,
         key: &'static str,
@@ -179,6 +217,7 @@
         }
     }
 
+    /// A whole number in this range.
     pub fn whole(
         &self,
         key: &'static str,
@@ -206,6 +245,7 @@
         Duration::from_secs_f64(self.number(key, range, default) * unit)
     }
 
+    /// True or false.
     pub fn flag(&self, key: &'static str, default: bool) -> bool {
         match self.get(key) {
             None => default,
@@ -217,6 +257,7 @@
         }
     }
 
+    /// A text.
     pub fn text(&self, key: &'static str, default: Option<&str>) -> String {
         match self.get(key) {
             None => {
@@ -233,6 +274,7 @@
         }
     }
 
+    /// Where a key's value stands; the table, if there is none.
     pub fn span_of(&self, key: &'static str) -> Range<usize> {
         self.get(key).map_or(self.span.clone(), |(_, at)| at)
     }
@@ -267,6 +309,7 @@
         }
     }
 
+    /// A list of texts.
     pub fn texts(&self, key: &'static str, default: &[&str]) -> Vec<String> {
         let Some((value, at)) = self.get(key) else {
             return default.iter().map(|s| s.to_string()).collect();
--- /dev/null
+++ b/crates/load/src/driver.rs
@@ -0,0 +1,337 @@
+//! Sends a load and keeps the account of it. In an open loop a request is turned to when it is due, whatever has become
+//! of those before it, and its latency counts from then: what waits because the target stopped is not left out
+//! (Tene, "How not to measure latency"; the fault is known as coordinated omission).
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowpaddle_net::Network;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Semaphore;
+use tokio::task::{AbortHandle, spawn_local, yield_now};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use crate::account::{Account, End};
+use crate::profile::{Arrivals, Effect, Profile};
+use crate::schedule::{Schedule, draw};
+
+/// Requests that may be open at once. Without a bound a target that never answers takes all memory.
+const MOST_OPEN: usize = 100_000;
+/// Timers may ring so much late: awake from then on, where that matters.
+const AWAKE: Duration = Duration::from_millis(2);
+/// How often progress is told.
+const PROGRESS: Duration = Duration::from_millis(500);
+/// A request written to a kept connection may cross with its close: it goes once more, on a new one.
+const CROSSINGS: usize = 1;
+
+/// Where a load goes.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its address.
+    pub address: SocketAddr,
+    /// As in `Host`.
+    pub host: String,
+}
+
+/// How the time of a request is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    /// By the runtime's timers, up to 1 ms late. All there is under a paused clock.
+    ByTimer,
+    /// The last of it awake, to the microsecond, at the cost of a core.
+    Awake,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Since its start.
+    pub at: Duration,
+    /// Requests due so far.
+    pub asked: u64,
+    /// Requests answered so far.
+    pub answered: u64,
+    /// Of those, not with 2xx; and those that ended with no answer.
+    pub unserved: u64,
+    /// Requests open now.
+    pub open: usize,
+    /// The longest latency since the last word, in milliseconds.
+    pub most_ms: f64,
+}
+
+/// A connection that closes with its owner.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Driver {
+    network: Rc<dyn Network>,
+    target: Target,
+    profile: Profile,
+    account: RefCell<Account>,
+    progress: Cell<Progress>,
+    idle: RefCell<Vec<Link>>,
+    places: Semaphore,
+    ids: RefCell<ChaCha8Rng>,
+    zero: Instant,
+}
+
+/// Plays a load to its end, at most its length and its longest deadline. Must run inside a `LocalSet`.
+pub async fn run(
+    network: Rc<dyn Network>,
+    target: Target,
+    profile: &Profile,
+    seed: u64,
+    waiting: Waiting,
+    progress: impl Fn(Progress) + 'static,
+) -> Account {
+    let mut ids = ChaCha8Rng::seed_from_u64(seed);
+    ids.set_stream(3);
+    let driver = Rc::new(Driver {
+        network,
+        target,
+        account: RefCell::new(Account::new(profile.classes.len())),
+        progress: Cell::default(),
+        idle: RefCell::default(),
+        places: Semaphore::new(profile.connections as usize),
+        ids: RefCell::new(ids),
+        zero: Instant::now(),
+        profile: profile.clone(),
+    });
+    let telling = {
+        let driver = driver.clone();
+        spawn_local(async move {
+            loop {
+                sleep(PROGRESS).await;
+                let now = Progress { at: driver.zero.elapsed(), ..driver.progress.get() };
+                progress(now);
+                driver.progress.set(Progress { most_ms: 0.0, ..now });
+            }
+        })
+    };
+    let shares: Vec<f64> = profile.classes.iter().map(|c| c.share).collect();
+    match &profile.arrivals {
+        Arrivals::Open(spacing, rates) => {
+            let schedule = Schedule::new(rates, *spacing, profile.length, &shares, seed);
+            driver.open(schedule, waiting).await;
+        }
+        Arrivals::Closed(clients) => driver.closed(*clients, &shares, seed).await,
+    }
+    telling.abort();
+    // Whatever hung in a request has ended by its deadline.
+    driver.account.take()
+}
+
+impl Driver {
+    async fn open(self: &Rc<Self>, schedule: Schedule, waiting: Waiting) {
+        for due in schedule {
+            let at = self.zero + due.at;
+            match waiting {
+                Waiting::ByTimer => sleep_until(at).await,
+                Waiting::Awake => {
+                    if let Some(asleep) = at.checked_sub(AWAKE).filter(|t| Instant::now() < *t) {
+                        sleep_until(asleep).await;
+                    }
+                    while Instant::now() < at {
+                        yield_now().await;
+                    }
+                }
+            }
+            self.asked(due.class, due.at);
+            self.account.borrow_mut().lateness.record(at.elapsed());
+            if self.progress.get().open >= MOST_OPEN {
+                self.account.borrow_mut().unsent(due.class);
+                continue;
+            }
+            self.change(|p| p.open += 1);
+            let driver = self.clone();
+            spawn_local(async move {
+                driver.ask(due.class, due.at).await;
+                driver.change(|p| p.open -= 1);
+            });
+        }
+        sleep_until(self.zero + self.profile.length).await;
+        while self.progress.get().open > 0 {
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    async fn closed(self: &Rc<Self>, clients: u32, shares: &[f64], seed: u64) {
+        let mut all = Vec::new();
+        for client in 0..clients {
+            let (driver, shares) = (self.clone(), shares.to_vec());
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            rng.set_stream(16 + u64::from(client));
+            all.push(spawn_local(async move {
+                while driver.zero.elapsed() < driver.profile.length {
+                    let (class, at) = (draw(&shares, &mut rng), driver.zero.elapsed());
+                    driver.asked(class, at);
+                    driver.change(|p| p.open += 1);
+                    driver.ask(class, at).await;
+                    driver.change(|p| p.open -= 1);
+                    if at == driver.zero.elapsed() {
+                        // Refused in no time at all by the clock: others have their turn.
+                        sleep(Duration::from_millis(1)).await;
+                    }
+                }
+            }));
+        }
+        for client in all {
+            // A client that panicked is a fault of this tool, and its requests would be missing.
+            client.await.expect("a client plays to its end");
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Progress)) {
+        let mut progress = self.progress.get();
+        change(&mut progress);
+        self.progress.set(progress);
+    }
+
+    fn asked(&self, class: usize, at: Duration) {
+        self.account.borrow_mut().asked(class, at);
+        self.change(|p| p.asked += 1);
+    }
+
+    /// One request, from when it was due to its end.
+    async fn ask(&self, class: usize, at: Duration) {
+        let due = self.zero + at;
+        let until = due + self.profile.classes[class].deadline;
+        let sent = Cell::new(None);
+        let exchange = self.exchange(class, until, &sent);
+        let (end, answered) = match timeout_at(until, exchange).await {
+            Ok(Ok(status)) if status.is_success() => (End::Served, true),
+            Ok(Ok(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)) => {
+                (End::Refused, true)
+            }
+            Ok(Ok(_)) => (End::Failed, true),
+            Ok(Err(end)) => (end, false),
+            Err(_) => (End::TimedOut, false),
+        };
+        let now = Instant::now();
+        let took = answered.then(|| (now - due, now - sent.get().unwrap_or(due)));
+        self.account.borrow_mut().ended(class, at, end, took);
+        self.change(|p| {
+            p.answered += u64::from(answered);
+            p.unserved += u64::from(end != End::Served);
+            p.most_ms = p.most_ms.max(took.map_or(0.0, |t| t.0.as_secs_f64() * 1e3));
+        });
+    }
+
+    async fn exchange(
+        &self,
+        class: usize,
+        until: Instant,
+        sent: &Cell<Option<Instant>>,
+    ) -> Result<StatusCode, End> {
+        let asked = Instant::now();
+        // Its owner never closes it.
+        let Ok(_place) = self.places.acquire().await else { return Err(End::Unreachable) };
+        self.account.borrow_mut().waiting.record(asked.elapsed());
+        let mut crossed = 0;
+        loop {
+            let kept = self.kept();
+            let reused = kept.is_some();
+            let mut link = match kept {
+                Some(link) => link,
+                None => self.connect().await?,
+            };
+            let request = self.request(class, until);
+            sent.set(Some(Instant::now()));
+            let answer = match link.sender.send_request(request).await {
+                Ok(answer) => answer,
+                Err(_) if reused && crossed < CROSSINGS => {
+                    crossed += 1;
+                    continue;
+                }
+                Err(_) => return Err(End::Broken),
+            };
+            let (head, mut body) = answer.into_parts();
+            while let Some(frame) = body.frame().await {
+                frame.map_err(|_| End::Broken)?;
+            }
+            let closes = head.headers.get(CONNECTION).is_some_and(|v| v == "close");
+            if self.profile.kept && !closes && link.sender.ready().await.is_ok() {
+                self.idle.borrow_mut().push(link);
+            }
+            return Ok(head.status);
+        }
+    }
+
+    fn kept(&self) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(link) = idle.pop() {
+            if !link.sender.is_closed() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Link, End> {
+        let stream = self.network.connect(self.target.address).await;
+        let io = TokioIo::new(stream.map_err(|_| End::Unreachable)?);
+        let (sender, connection) = http1::handshake(io).await.map_err(|_| End::Unreachable)?;
+        let task = spawn_local(async move {
+            // How it ended is told by the request on it.
+            let _ = connection.await;
+        });
+        self.account.borrow_mut().opened += 1;
+        Ok(Link { sender, task: task.abort_handle() })
+    }
+
+    fn request(&self, class: usize, until: Instant) -> Request<Full<Bytes>> {
+        let of = &self.profile.classes[class];
+        let (id, key) = {
+            let mut rng = self.ids.borrow_mut();
+            (rng.next_u64(), rng.next_u64())
+        };
+        let body = Bytes::from(vec![b'x'; of.body]);
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = if of.effect == Effect::Safe { Method::GET } else { Method::POST };
+        // The profile was read with what a target and a header may hold.
+        if let Ok(uri) = of.path.parse() {
+            *request.uri_mut() = uri;
+        }
+        let headers = request.headers_mut();
+        let mut set = |name: &'static str, value: String| {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                headers.insert(name, value);
+            }
+        };
+        set(HOST.as_str(), self.target.host.clone());
+        if of.effect != Effect::Safe {
+            set(CONTENT_LENGTH.as_str(), of.body.to_string());
+        }
+        if !self.profile.kept {
+            set(CONNECTION.as_str(), "close".to_string());
+        }
+        if self.profile.platform {
+            let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+            set("x-request-id", format!("{id:016x}"));
+            set("x-class", of.name.clone());
+            set("x-deadline-ms", left.to_string());
+            set("cookie", format!("sid={key:016x}"));
+            if of.effect == Effect::Keyed {
+                set("idempotency-key", format!("{id:016x}{key:016x}"));
+            }
+        }
+        request
+    }
+}
--- a/crates/rehearsal/src/bank.rs
+++ b/crates/rehearsal/src/bank.rs
@@ -73,6 +73,10 @@
     fn resources(&self) -> Option<Resources> {
         None
     }
+    /// How it was started, and the last that it has written of itself, for people; empty where neither is known.
+    fn last_words(&self) -> String {
+        String::new()
+    }
 }
 
 /// A balancer that has been started.
@@ -111,6 +115,8 @@
     clients: Rc<Clients>,
     launcher: Rc<dyn Launcher>,
     slots: RefCell<Vec<Slot>>,
+    /// The first that ended by itself before the front had taken it in.
+    ended_early: RefCell<Option<LaunchError>>,
 }
 
 impl Bank {
@@ -128,6 +134,7 @@
             clients: clients.clone(),
             launcher,
             slots: RefCell::new(slots),
+            ended_early: RefCell::default(),
         })
     }
 
@@ -186,12 +193,23 @@
     fn ended(&self, balancer: usize, start: u32, code: Option<i32>) {
         let mut slots = self.slots.borrow_mut();
         if slots[balancer].start == start {
-            slots[balancer].control = None;
+            let control = slots[balancer].control.take();
+            if let Some(control) = control.filter(|_| !self.clients.taken_in(balancer)) {
+                let how = code.map_or("by a signal".to_string(), |c| format!("with code {c}"));
+                let what = format!("it ended {how} before it was ready{}", control.last_words());
+                let early = LaunchError { name: format!("n{balancer}"), what };
+                self.ended_early.borrow_mut().get_or_insert(early);
+            }
             self.clients.part(balancer);
         }
         self.stage.record.saw(Seen::Exited { balancer, start, code });
     }
 
+    /// What became of the first that ended by itself before the front had taken it in, if one did.
+    pub fn ended_early(&self) -> Option<LaunchError> {
+        self.ended_early.take()
+    }
+
     /// Whether it runs.
     pub fn runs(&self, balancer: usize) -> bool {
         self.slots.borrow()[balancer].control.is_some()
@@ -285,7 +303,9 @@
     fn config(&self, balancer: usize, name: &str, listen: SocketAddr, start: u32) -> String {
         let scenario = &self.stage.scenario;
         let seed = self.stage.plan.balancer_seeds[balancer].wrapping_add(u64::from(start));
+        let subset = |(times, least)| json!({"times": times, "least": least});
         json!({
+            "subset": scenario.bank.subset.map(subset),
             "name": name,
             "listen": listen.to_string(),
             "discovery": self.list.address(balancer).to_string(),
--- a/crates/rehearsal/src/process.rs
+++ b/crates/rehearsal/src/process.rs
@@ -14,12 +14,16 @@
 /// The kernel's clock ticks a second, in which it tells processor time (proc(5); 100 on all of Linux).
 const TICKS: u64 = 100;
 
+/// So much of what a balancer wrote last is told when it could not be started.
+const LAST_BYTES: usize = 4096;
+const LAST_LINES: usize = 8;
+
 /// Starts balancers by a command, as the platform does: `/bin/sh -c`, the LB_* variables, a file.
 pub struct Processes {
     command: String,
-    /// Where their configurations lie; gone with us.
+    /// Where their configurations lie, and their logs unless they are wanted elsewhere; gone with us.
     folder: tempfile::TempDir,
-    /// Where their logs go, if anywhere.
+    /// Where their logs are wanted.
     logs: Option<PathBuf>,
 }
 
@@ -36,10 +40,9 @@
         Ok(Self { command: command.to_string(), folder, logs: logs.map(Path::to_path_buf) })
     }
 
-    fn log(&self, launch: &Launch) -> std::io::Result<Stdio> {
-        let Some(logs) = &self.logs else { return Ok(Stdio::null()) };
-        let file = logs.join(format!("{}-{}.log", launch.name, launch.start));
-        Ok(Stdio::from(fs::File::create(file)?))
+    fn log(&self, launch: &Launch) -> PathBuf {
+        let folder = self.logs.as_deref().unwrap_or(self.folder.path());
+        folder.join(format!("{}-{}.log", launch.name, launch.start))
     }
 }
 
@@ -48,7 +51,8 @@
         let fail = |what: String| LaunchError { name: launch.name.clone(), what };
         let file = self.folder.path().join(format!("{}.json", launch.name));
         fs::write(&file, &launch.config).map_err(|e| fail(format!("its configuration: {e}")))?;
-        let log = self.log(&launch).map_err(|e| fail(format!("its log: {e}")))?;
+        let log = self.log(&launch);
+        let errors = fs::File::create(&log).map_err(|e| fail(format!("its log: {e}")))?;
         let mut child = Command::new("/bin/sh")
             .arg("-c")
             .arg(format!("exec {}", self.command))
@@ -58,13 +62,14 @@
             .env("LB_CONFIG", &file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
+            .stderr(Stdio::from(errors))
             .kill_on_drop(true)
             .spawn()
             .map_err(|e| fail(format!("`{}`: {e}", self.command)))?;
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
         let over = Rc::new(Cell::new(false));
-        let control = Box::new(Process { pid, over: over.clone(), file });
+        let command = self.command.clone();
+        let control = Box::new(Process { pid, over: over.clone(), file, log, command });
         let ended = Box::pin(async move {
             let status = child.wait().await;
             // From here on its number may be another's.
@@ -79,6 +84,8 @@
     pid: Option<Pid>,
     over: Rc<Cell<bool>>,
     file: PathBuf,
+    log: PathBuf,
+    command: String,
 }
 
 impl Process {
@@ -106,6 +113,19 @@
         }
     }
 
+    fn last_words(&self) -> String {
+        let text = fs::read(&self.log).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text[text.len().saturating_sub(LAST_BYTES)..]);
+        let lines: Vec<&str> = text.lines().collect();
+        let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
+        let wrote = if last.is_empty() {
+            "it wrote nothing".to_string()
+        } else {
+            format!("its last lines:\n  {}", last.join("\n  "))
+        };
+        format!(": `{}`; {wrote}", self.command)
+    }
+
     fn resources(&self) -> Option<Resources> {
         let pid = self.pid.filter(|_| !self.over.get())?.as_raw_nonzero();
         let folder = PathBuf::from(format!("/proc/{pid}"));
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -136,6 +136,10 @@
     let started = Instant::now();
     let ready = || (0..scenario.bank.count).filter(|b| clients.taken_in(*b)).count();
     while ready() < scenario.bank.count && started.elapsed() < READY {
+        if let Some(early) = bank.ended_early() {
+            bank.end();
+            return Err(early.into());
+        }
         sleep(Duration::from_millis(5)).await;
     }
     if ready() == 0 {
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -1,12 +1,11 @@
 //! What a rehearsal is to play: fleet, balancers, classes, load and faults. Plain data; [`Scenario::read`] makes it
 //! from a TOML file, and [`crate::plan`] draws everything that is left to chance.
 
-mod fields;
 mod read;
 
 use std::time::Duration;
 
-pub use fields::{Problem, Problems};
+pub use hollowpaddle_fields::{Problem, Problems};
 
 /// A whole scenario. Every time is a length; work is in milliseconds of one core of speed 1.
 #[derive(Clone, Debug, PartialEq)]
@@ -96,6 +95,9 @@
     pub sockets: u32,
     /// How long the front goes on sending to one that has died.
     pub notice: Duration,
+    /// Which part of the fleet each keeps links to: so many times the even part, and at least so many nodes of each
+    /// zone. `None` for all of it.
+    pub subset: Option<(f64, u32)>,
 }
 
 /// How clients behave.
--- a/crates/rehearsal/src/scenario/read.rs
+++ b/crates/rehearsal/src/scenario/read.rs
@@ -3,9 +3,9 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use hollowpaddle_fields::{File, Problems, Table};
 use toml::de::DeTable;
 
-use super::fields::{File, Problems, Table};
 use super::*;
 
 /// Limits of one machine: beyond, a run takes hours or the descriptors of any usual machine.
@@ -17,24 +17,10 @@
 const ONE: RangeInclusive<f64> = 0.0..=1.0;
 
 pub fn read(name: &str, text: &str) -> Result<Scenario, Problems> {
-    let file = File::new(name, text);
-    let (table, errors) = DeTable::parse_recoverable(text);
-    for error in &errors {
-        let at = error.span().map_or(0, |s| s.start);
-        file.wrong(at, format!("this is not TOML: {}", error.message().trim()));
-    }
-    // What a half-read file lacks is no mistake of its own.
-    if !errors.is_empty() {
-        return Err(file.problems().unwrap_or(Problems(Vec::new())));
-    }
-    let scenario = scenario(&Table::top(&file, table.get_ref()), table.get_ref(), &file);
-    match file.problems() {
-        None => Ok(scenario),
-        Some(problems) => Err(problems),
-    }
+    hollowpaddle_fields::read(name, text, scenario)
 }
 
-fn scenario<'f, 'a>(_: &Table<'f, 'a>, table: &'f DeTable<'a>, file: &'f File<'a>) -> Scenario {
+fn scenario<'f, 'a>(file: &'f File<'a>, table: &'f DeTable<'a>) -> Scenario {
     let top = Table::top(file, table);
     let classes: Vec<Class> = top.tables("classes").into_iter().map(class).collect();
     if classes.is_empty() {
@@ -57,6 +43,7 @@
         memory_mb: 192,
         sockets: 1024,
         notice: Duration::from_secs(2),
+        subset: None,
     });
     // What a mistake above has left unknown is no second mistake below.
     let doubtful = file.is_wrong();
@@ -147,6 +134,10 @@
         memory_mb: t.whole("memory_mb", 16..=1_000_000, Some(192)),
         sockets: t.whole("sockets", 96..=1_000_000, Some(1024)),
         notice: t.time("notice_s", 0.0..=60.0, Some(2.0)),
+        subset: (t.has("subset_times") || t.has("subset_least")).then(|| {
+            let times = t.number("subset_times", 1.0..=1000.0, Some(4.0));
+            (times, t.whole("subset_least", 1..=MOST_NODES, Some(64)))
+        }),
     };
     t.finish();
     bank
--- a/crates/rehearsal/src/sweep.rs
+++ b/crates/rehearsal/src/sweep.rs
@@ -91,7 +91,7 @@
             same_zone: Duration::ZERO,
             cross_zone: ms(rng.random_range(0..=8)),
         },
-        bank: Bank { count, memory_mb: 64, sockets: 512, notice: ms(1500) },
+        bank: Bank { count, memory_mb: 64, sockets: 512, notice: ms(1500), subset: None },
         clients: Clients { leave_share: 0.01, connections: 160, repeats: Repeats::default() },
         classes,
         load: Load {
