Tell the module how many proxies share an upstream where each has a part of the fleet

Cause: the module divides by all balancers of the bank (part, learn_leeway, warm_rate, the ring) what it knows of a ninth of the fleet.

A rehearsal in the tests holds it, and was seen to fail with the line taken out.

--- a/crates/ctl/tests/rehearse.rs
+++ b/crates/ctl/tests/rehearse.rs
@@ -231,6 +231,23 @@
     }
 }
 
+#[test]
+fn a_bank_that_links_to_parts_of_the_fleet_serves_about_as_well() {
+    // Failure: each took its part of the bank's work at its part of the fleet, and two thirds were refused.
+    let folder = Folder::new();
+    let day = SHORT[..SHORT.find("[[faults]]").expect("they come last")]
+        .replace("nodes = 8", "nodes = 160")
+        .replace("count = 2", "count = 16")
+        .replace("work_ms = 30", "work_ms = 300")
+        .replace("aim_ms = 600", "aim_ms = 3000")
+        .replace("deadline_ms = 1500", "deadline_ms = 6000");
+    let all = service(&folder.write("all.toml", &day));
+    let parts = day.replace("count = 16", "count = 16\nsubset_times = 3\nsubset_least = 8");
+    let parts = service(&folder.write("parts.toml", &parts));
+    let whole = |s: &Value| s["whole"].as_f64().expect("a ratio");
+    assert!(whole(&parts) > whole(&all) - 0.05, "{parts} against {all}");
+}
+
 #[test]
 fn clients_that_ask_again_are_served_more_and_counted_once() {
     let folder = Folder::new();
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -599,7 +599,11 @@
         self.ready.set(self.upstreams.any_open());
         let now = self.clock.now();
         let list = match &mut self.subset {
-            Some(subset) => subset.listed(now, kind, &members),
+            Some(subset) => {
+                let list = subset.listed(now, kind, &members);
+                self.balancer.shared_by(subset.sharers());
+                list
+            }
             None => members,
         };
         let part = self.telling.listed(kind, list);
@@ -622,6 +626,7 @@
         let Some(subset) = &mut self.subset else { return };
         let mut list = subset.passed(now);
         list.extend(subset.seen(now, all, well));
+        self.balancer.shared_by(subset.sharers());
         if !list.is_empty() {
             let part = self.telling.listed(ListKind::Aside, list);
             self.tell_part(part.kind, &part.members);
--- a/crates/gateway/src/subsetting.rs
+++ b/crates/gateway/src/subsetting.rs
@@ -9,6 +9,7 @@
     subset: Subset,
     all: FxHashMap<ServerId, Member>,
     shown: FxHashSet<ServerId>,
+    balancers: u32,
 }
 
 fn cell(m: &Member) -> Cell {
@@ -21,8 +22,15 @@
     /// # Errors
     /// The size can't be.
     pub fn new(size: Size, bank: Bank) -> Result<Self, SizeError> {
+        let balancers = bank.balancers;
         let subset = Subset::new(size, bank)?;
-        Ok(Self { subset, all: FxHashMap::default(), shown: FxHashSet::default() })
+        Ok(Self { subset, all: FxHashMap::default(), shown: FxHashSet::default(), balancers })
+    }
+
+    /// How many balancers of the bank share each upstream that the module knows.
+    pub fn sharers(&self) -> f64 {
+        let share = self.shown.len() as f64 / self.all.len().max(1) as f64;
+        f64::from(self.balancers) * share.min(1.0)
     }
 
     /// Takes in what a list tells, and says what the module is to be told of it. A drain or a removal is told of
@@ -138,6 +146,7 @@
         let mut all = fleet(400);
         apply(&mut has, ListKind::Whole, &of.listed(Time(0), ListKind::Whole, &all));
         assert_eq!(has.len(), 40);
+        assert_eq!(of.sharers(), 1.0, "a tenth of the fleet each, of ten balancers");
         let cells: FxHashSet<u32> = has.keys().map(|id| id.0 / 8).collect();
         assert_eq!(cells.len(), 5, "whole cells");
         let outside =
--- a/crates/policy/src/gauges.rs
+++ b/crates/policy/src/gauges.rs
@@ -1,4 +1,4 @@
-//! What the module shows of itself to others. Decides nothing.
+//! What the module shows of itself to others, and is told beside events. Decides nothing.
 
 use crate::interface::{ServerId, Span, Time};
 use crate::policy::Balancer;
@@ -10,6 +10,13 @@
         Some((s.in_flight, Self::k(s, 0), self.n_rate(s) * t.f()))
     }
 
+    /// So many proxies of the bank send to each upstream that this one knows. All of them do, unless it is told
+    /// otherwise. Failure: a proxy that was shown a ninth of the fleet took a thirty-sixth of that ninth for its part,
+    /// and refused beside upstreams that idled.
+    pub fn shared_by(&mut self, proxies: f64) {
+        self.up.sharers = if proxies >= 1.0 { proxies } else { 1.0 };
+    }
+
     /// Live upstreams, and how many of them do not rest after a fault; for whoever chooses which to name.
     pub fn standing(&self, now: Time) -> (usize, usize) {
         self.up.standing(now)
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -331,7 +331,7 @@
 
     /// The part of the bank's work that falls to this proxy. The paper's one balancer sees all.
     fn part(&self) -> f64 {
-        (self.fleet.leeway / f64::from(self.settings.balancers)).min(1.0)
+        (self.fleet.leeway / self.up.sharers).min(1.0)
     }
 
     /// Young upstreams and outliers say nothing of their kind.
@@ -861,11 +861,11 @@
             return;
         }
         let crowded = latency * f.ts / f.good > CROWDED;
-        let even = self.up.ring.len() as f64 / f64::from(self.settings.balancers);
+        let even = self.up.ring.len() as f64 / self.up.sharers;
         let full = if outcome == Outcome::Ok { 1.0 } else { FULL_FALL };
         let fall = LEEWAY_FALL * (even / FEW).max(1.0) * full;
         f.leeway *= 1.0 + LEEWAY_GAIN * if crowded { -fall } else { 1.0 };
-        f.leeway = f.leeway.clamp(LEEWAY, LEEWAY.max(f64::from(self.settings.balancers)));
+        f.leeway = f.leeway.clamp(LEEWAY, LEEWAY.max(self.up.sharers));
     }
 
     /// When an attempt is overdue, long past its class's latency; and when a second one must go to be in
@@ -1025,7 +1025,7 @@
         let rate = s.weight * if like > 0.0 { like } else { f.any_rate };
         let multiple = self.settings.rules.fall_multiple.max(1.0);
         // Failure: with every upstream young, or nothing observed yet, none got any work.
-        let least = multiple / f64::from(self.settings.balancers) / f.paced;
+        let least = multiple / self.up.sharers / f.paced;
         let rate = if rate > 0.0 { rate } else { least };
         // Failure: a fleet that grew fourfold kept refusing: each young upstream had the pace of an even
         // spread over the bank, but only the proxies whose own it was sent it anything.
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -100,6 +100,8 @@
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     settings: Arc<Settings>,
+    /// Proxies that send to each upstream known here: all of the bank, unless each has a part of the fleet.
+    pub(crate) sharers: f64,
     /// By slot. A slot is its upstream's until that is gone and nothing was sent there that still lives.
     pub(crate) servers: Vec<Server>,
     vacant: Vec<usize>,
@@ -141,6 +143,7 @@
             shut: vec![0; classes],
             warm_weight: Vec::new(),
             alarms: Alarms::default(),
+            sharers: f64::from(settings.balancers),
             settings,
         }
     }
@@ -322,7 +325,7 @@
     fn point(&self) -> (f64, f64) {
         let s = &self.settings;
         let zones = if self.priced() { f64::from(s.zones.max(1)) } else { 1.0 };
-        ((f64::from(s.position) * GOLDEN).fract(), (f64::from(s.balancers) / zones).max(1.0))
+        ((f64::from(s.position) * GOLDEN).fract(), (self.sharers / zones).max(1.0))
     }
 
     /// The indexes of this part of the ring that may lie within so many even parts of this proxy's own point, in
