Try more lanes on fewer upstreams where many balancers share them

At fault: refresh_lanes, which gives half of a proxy's own upstreams twice the lanes until it knows better, however many proxies share them. Each learns for itself, so a bank of n pays n times; and with n requests at an upstream from n proxies more lanes of each win nothing. One own upstream in n squared now, half at most.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -87,6 +87,8 @@
 const TRIAL_OF_TS: f64 = 4.0;
 /// And while too little is known of a kind: a round is as long as an answer takes.
 const FIRST_TRIAL_OF_TS: f64 = 1.5;
+/// Share of one's own upstreams that are tried with more lanes until then, at most.
+const TRIALS_FIRST: f64 = 0.5;
 /// Share of the upstreams that are tried with more lanes once enough is known of them.
 const TRIALS_LATER: f64 = 1.0 / 96.0;
 /// TS of an upstream before any answer from any upstream, as a share of T_QoS.
@@ -286,7 +288,9 @@
         self.fleet.lanes.iter_mut().for_each(Lanes::choose);
         // One own upstream at a time, or half of them while nothing is known of more lanes (failure: at six
         // cores, learned one by one, a quarter was refused for the first minute of a quiet day). Not beyond
-        // one's own part: there the trials of a bank would meet.
+        // one's own part: there the trials of a bank would meet. Fewer where many proxies share an upstream:
+        // it is their requests that fill its lanes then, each learns for itself, and what a bank pays for
+        // that grows with it (failure: a bank of ten that started anew crowded half of its upstreams for 5 s).
         for i in std::mem::take(&mut self.trying) {
             self.up.servers[i].trial = 0;
             self.touch(now, i);
@@ -300,10 +304,11 @@
         if own.is_empty() {
             return;
         }
+        let first = (1.0 / (self.up.sharers * self.up.sharers)).min(TRIALS_FIRST);
         for &i in &own {
             let lanes = &self.fleet.lanes[self.up.servers[i].kind as usize];
             let (next, known) = lanes.next();
-            if !known && self.rng.rand_float() < 0.5 {
+            if !known && self.rng.rand_float() < first {
                 self.on_trial(now, i, (next - lanes.count) as i32);
             }
         }
