--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -496,6 +496,38 @@
     assert_eq!(k_learned(1), 1);
 }
 
+/// How many of some hundred requests a proxy of so many, that knows nothing yet, sent to where one of its own was out.
+fn sent_beside_its_own(balancers: u32) -> usize {
+    let mut w = World::with_servers(Settings { balancers, ..settings() }, 32);
+    let (mut id, mut known, mut beside) = (0, 0, 0);
+    let mut out: Vec<(u64, u32, u32)> = Vec::new();
+    for _ in 0..150 {
+        w.pass(Span(2 * MS));
+        (0..4).for_each(|i| w.request(id + i, 0));
+        id += 4;
+        out.iter_mut().for_each(|o| o.2 -= 1);
+        let done: Vec<u64> = out.iter().filter(|o| o.2 == 0).map(|o| o.0).collect();
+        out.retain(|o| o.2 > 0);
+        done.into_iter().for_each(|id| w.outcome(id, 0, Outcome::Ok));
+        for action in w.log[known..].to_vec() {
+            if let Action::Send { request, server, .. } = action {
+                beside += usize::from(out.iter().any(|o| o.1 == server.0));
+                out.push((request.0, server.0, 10));
+            }
+        }
+        known = w.log.len();
+    }
+    beside
+}
+
+#[test]
+fn of_a_bank_that_knows_nothing_few_try_more_lanes() {
+    // Failure: a bank of ten that came back with nothing stored tried twice the lanes on half of its upstreams at once,
+    // and was 5 s longer on the way to full service.
+    let (alone, of_eight) = (sent_beside_its_own(1), sent_beside_its_own(8));
+    assert!(alone >= 100 && of_eight <= 20, "{alone} alone, {of_eight} as one of eight");
+}
+
 #[test]
 fn a_proxy_takes_over_the_part_of_lost_ones_while_there_is_room() {
     // Failure: where a zone was lost with its proxies, the rest kept to the parts of a whole bank
