--- a/crates/comeback/src/beliefs.rs
+++ b/crates/comeback/src/beliefs.rs
@@ -9,6 +9,8 @@
     Fleet,
     /// What was learned of single upstreams since a start of theirs: their way and their slowness.
     Upstreams,
+    /// What operators have said.
+    Words,
     /// Shares of something that others hold the rest of.
     Budgets,
 }
@@ -28,11 +30,15 @@
 /// An upstream's own: it may have been slow for a passing reason, and one wrong figure sends a share of the load there.
 const UPSTREAMS: Duration = Duration::from_secs(60);
 
+/// Operators' words count until they are taken back. Of a copy as old as this nobody knows any more what it was for.
+const WORDS: Duration = Duration::from_secs(30 * 24 * 3600);
+
 /// How far knowledge of this age is believed, where the list has nothing to say against it. What the list says wins.
 pub fn belief(what: What, age: Duration) -> Belief {
     let most = match what {
         What::Fleet => FLEET,
         What::Upstreams => UPSTREAMS,
+        What::Words => WORDS,
         // The others went on meanwhile: whatever one held, somebody else may hold now.
         What::Budgets => return Belief::Nothing,
     };
@@ -41,5 +47,5 @@
 
 /// Beyond this age nothing is believed of anything.
 pub fn oldest() -> Duration {
-    FLEET.max(UPSTREAMS)
+    FLEET.max(UPSTREAMS).max(WORDS)
 }
--- a/crates/comeback/tests/beliefs.rs
+++ b/crates/comeback/tests/beliefs.rs
@@ -8,7 +8,7 @@
 
 #[test]
 fn each_kind_is_believed_up_to_its_age_and_budgets_never() {
-    for (what, seconds) in [(What::Fleet, 600), (What::Upstreams, 60)] {
+    for (what, seconds) in [(What::Fleet, 600), (What::Upstreams, 60), (What::Words, 2_592_000)] {
         let most = Duration::from_secs(seconds);
         assert_eq!(belief(what, Duration::ZERO), Belief::Whole);
         assert_eq!(belief(what, most), Belief::Whole);
@@ -19,8 +19,8 @@
 
 #[test]
 fn beyond_the_oldest_nothing_is_believed() {
-    for what in [What::Fleet, What::Upstreams, What::Budgets] {
+    for what in [What::Fleet, What::Upstreams, What::Words, What::Budgets] {
         assert_eq!(belief(what, oldest() + MS), Belief::Nothing);
     }
-    assert_eq!(belief(What::Fleet, oldest()), Belief::Whole, "no longer than it has to be");
+    assert_eq!(belief(What::Words, oldest()), Belief::Whole, "no longer than it has to be");
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -67,13 +67,21 @@
 fn is_usual(told: &Value) -> bool {
     let start = &told["start"];
     let aside = start["set_aside"].as_array().is_some_and(|a| !a.is_empty());
-    told["keeps"] == false
-        || start["way"] == "usual" && !aside && told["saving"]["failing"].is_null()
+    let kept = start["way"] == "usual" && !aside && told["saving"]["failing"].is_null();
+    (told["keeps"] == false || kept) && told["said"]["doubted"].is_null()
 }
 
 fn text(told: &Value) -> String {
+    let mut said = String::new();
+    if let Some(doubt) = told["said"]["doubted"].as_str() {
+        let cordoned = told["said"]["cordoned"].as_array().into_iter().flatten();
+        let names: Vec<&str> = cordoned.filter_map(Value::as_str).collect();
+        let names = if names.is_empty() { "nothing".to_string() } else { names.join(", ") };
+        said = format!("CORDONS IN DOUBT: {doubt}\n  cordoned now: {names}\n");
+        said += "  cordon what is missing, uncordon what is back, then POST /admin/confirm\n";
+    }
     if told["keeps"] == false {
-        return "keeps nothing for its next start: no state directory\n".to_string();
+        return format!("keeps nothing for its next start: no state directory\n{said}");
     }
     let (start, saving) = (&told["start"], &told["saving"]);
     let word = |v: &Value| v.as_str().unwrap_or("?").to_string();
@@ -96,5 +104,5 @@
     if let Some(failing) = saving["failing"].as_str() {
         out += &format!("SAVING FAILS: {failing}\n");
     }
-    out
+    out + &said
 }
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hollowpaddle_comeback::{Belief, SETTLED, Starts, Way, What, belief};
+use hollowpaddle_operations::{Copied, Words};
 use hollowpaddle_policy::learned::Learned;
 use hollowpaddle_snapshot::{Found, Saver, Status};
 use serde::{Deserialize, Serialize};
@@ -57,6 +58,8 @@
     learned: Option<Learned>,
     /// When that was learned, in milliseconds of Unix time. What is only passed on grows no younger.
     learned_ms: u64,
+    /// What operators have said. None: the build that saved this kept no copy, or nobody was here.
+    said: Option<Words>,
 }
 
 /// How a start went on, for operators.
@@ -85,6 +88,7 @@
     state: RefCell<State>,
     way: Way,
     comeback: Comeback,
+    copied: Copied,
 }
 
 impl Keeper {
@@ -124,12 +128,22 @@
         } else {
             state.learned = None;
         }
+        // Operators' words are believed in every way and at any age that a snapshot may have.
+        let copied = match &mut state.said {
+            Some(words) => {
+                let copied = words.clone();
+                words.last = false;
+                Copied::Words(copied)
+            }
+            None if set_aside.is_empty() => Copied::Nothing,
+            None => Copied::Lost(set_aside.join("; ")),
+        };
         let (starts, crashes) = (state.starts.count(), state.starts.crashes());
         let age_s = (from == "snapshot").then_some(age.as_secs_f64());
         tracing::info!(way = way.name(), from, age_s, starts, crashes, "comes back");
         let comeback = Comeback { way: way.name(), from, age_s, starts, crashes, set_aside };
         let (epoch, state) = ((now, Instant::now()), RefCell::new(state));
-        let keeper = Rc::new(Self { keep, engine, epoch, state, way, comeback });
+        let keeper = Rc::new(Self { keep, engine, epoch, state, way, comeback, copied });
         // Before anything can go wrong with it: the next start is to know of this one.
         keeper.save();
         keeper
@@ -153,6 +167,17 @@
         })
     }
 
+    /// What was found of operators' words.
+    pub fn copied(&self) -> Copied {
+        self.copied.clone()
+    }
+
+    /// Keeps what operators have said, as it stands now. Not only with the next save: a call is answered with yes.
+    pub fn copy(&self, words: Words) {
+        self.state.borrow_mut().said = Some(words);
+        self.save();
+    }
+
     fn now(&self) -> Duration {
         self.epoch.0 + self.epoch.1.elapsed()
     }
@@ -192,7 +217,11 @@
     /// The process ends in order: saves for the last time, and waits a moment for that.
     pub async fn finish(&self) {
         self.learn().await;
-        self.state.borrow_mut().starts.ended();
+        {
+            let state = &mut *self.state.borrow_mut();
+            state.starts.ended();
+            state.said.get_or_insert_default().last = true;
+        }
         self.save();
         let until = Instant::now() + LAST;
         while !self.keep.is_idle() && Instant::now() < until {
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hollowpaddle_net::{Listener, accept};
 use hollowpaddle_operations::call::BODY_LIMIT;
-use hollowpaddle_operations::{Call, Said, Started, Store, StoreError};
+use hollowpaddle_operations::{Call, Copied, Said, Started, Store, StoreError, Words};
 use hollowpaddle_policy::learned::Learned;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -69,6 +69,10 @@
     fn recall(&self, learned: Learned);
     /// From what it started, and how saving for the next start goes.
     fn start(&self) -> serde_json::Value;
+    /// What was found of a copy of operators' words, elsewhere than in the store.
+    fn copied(&self) -> Copied;
+    /// Copies them there, as they stand now.
+    fn copy(&self, words: Words);
 }
 
 /// The door, and what stands behind it.
@@ -84,30 +88,54 @@
     left_to: Cell<u64>,
 }
 
-/// Joins the processes of this balancer; what can't be read is put aside.
-async fn joined(store: &mut Store) -> Result<(Started, Said), StoreError> {
-    let first = patiently(|| store.start()).await;
-    let Err(cause @ StoreError::Malformed { .. }) = first else { return first };
-    let aside = store.put_aside()?;
-    tracing::error!(
-        %cause,
-        "put aside as {}: every cordon is forgotten; compare, and cordon again what has to be out",
-        aside.display()
-    );
+/// Joins the processes of this balancer; what can't be read is put aside. What is lost so is put back as far as there is
+/// a copy.
+async fn joined(store: &mut Store, copied: &Copied) -> Result<(Started, Said), StoreError> {
+    let mut torn = None;
+    if let Err(cause @ StoreError::Malformed { .. }) = store.read() {
+        let aside = store.put_aside()?;
+        tracing::error!(%cause, "put aside as {}", aside.display());
+        torn = Some(cause.to_string());
+    }
+    if torn.is_some() || store.is_blank() {
+        let said = patiently(|| store.change(|said| said.recover(torn.as_deref(), copied))).await?;
+        warn(&said);
+    }
     patiently(|| store.start()).await
 }
 
+/// Tells of a doubt, if there is one.
+fn warn(said: &Said) {
+    if let Some(doubt) = &said.doubted {
+        let cordoned = said.cordoned.len();
+        tracing::error!(
+            doubt,
+            cordoned,
+            "compare what is cordoned, then POST /admin/confirm at the door"
+        );
+    }
+}
+
 impl<B: Operated + 'static> Operators<B> {
     /// Joins the processes of this balancer, and does what stands. A store that can't be used is no reason not to
     /// serve: what can't be read is put aside, and without a store what operators say ends with the process.
     pub async fn join(balancer: B, store: Option<Store>) -> Rc<Self> {
+        let copied = balancer.copied();
         let (store, started, said) = match store {
-            None => (None, None, Said::default()),
-            Some(mut store) => match joined(&mut store).await {
+            None => {
+                let mut said = Said::default();
+                said.recover(None, &copied);
+                warn(&said);
+                (None, None, said)
+            }
+            Some(mut store) => match joined(&mut store, &copied).await {
                 Ok((started, said)) => (Some(store), Some(started), said),
                 Err(cause) => {
                     tracing::error!(%cause, "what operators say is not kept: tell this process anew after each start");
-                    (None, None, Said::default())
+                    let mut said = Said::default();
+                    said.recover(Some(&cause.to_string()), &copied);
+                    warn(&said);
+                    (None, None, said)
                 }
             },
         };
@@ -120,6 +148,8 @@
             serving: Cell::new(false),
             left_to: Cell::new(0),
         };
+        // Whatever the copy had: this is what stands.
+        operators.balancer.copy(said.words());
         operators.apply(said).await;
         Rc::new(operators)
     }
@@ -260,7 +290,7 @@
         let call = Call::read(head.method.as_str(), head.uri.path(), &body.to_bytes());
         let answer = match call {
             Ok(Call::Health) => self.health(),
-            Ok(Call::Start) => text(StatusCode::OK, &self.balancer.start()),
+            Ok(Call::Start) => text(StatusCode::OK, &self.told()),
             Ok(call) => self.grant(call).await,
             Err(cause) => {
                 let status = StatusCode::from_u16(cause.status());
@@ -270,6 +300,18 @@
         Ok(answer)
     }
 
+    /// How it came back, and what stands of operators' words.
+    fn told(&self) -> serde_json::Value {
+        let mut told = self.balancer.start();
+        let said = self.said.borrow();
+        told["said"] = serde_json::json!({
+            "cordoned": said.cordoned,
+            "quiesced": said.quiesced,
+            "doubted": said.doubted,
+        });
+        told
+    }
+
     fn health(&self) -> Response<Full<Bytes>> {
         // The word of the store comes before the word of the engine: an older process must find this one when
         // it is told to end.
@@ -292,6 +334,7 @@
             Call::Uncordon(name) => drop(said.cordoned.remove(name)),
             Call::Quiesce => said.quiesced = true,
             Call::Resume => said.quiesced = false,
+            Call::Confirm => said.doubted = None,
             Call::Health | Call::Start => {}
         };
         match self.change(change).await {
@@ -323,6 +366,10 @@
     async fn apply(&self, said: Said) -> bool {
         self.balancer.quiesce(said.quiesced);
         let cordoned = self.balancer.cordon(said.cordoned.clone());
+        let words = said.words();
+        if words != self.said.borrow().words() {
+            self.balancer.copy(words);
+        }
         *self.said.borrow_mut() = said;
         cordoned.await
     }
@@ -386,6 +433,10 @@
         fn start(&self) -> serde_json::Value {
             serde_json::Value::Null
         }
+        fn copied(&self) -> Copied {
+            Copied::Nothing
+        }
+        fn copy(&self, _: Words) {}
     }
 
     async fn joined(dir: &tempfile::TempDir, ready: bool) -> Rc<Operators<Idle>> {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use hollowpaddle_net::{Listener, Network};
+use hollowpaddle_operations::{Copied, Words};
 use hollowpaddle_policy::learned::Learned;
 use tokio::sync::mpsc;
 
@@ -61,6 +62,14 @@
         let nothing = || serde_json::json!({"ok": true, "keeps": false});
         self.keeper.as_ref().map_or_else(nothing, |k| k.told())
     }
+    fn copied(&self) -> Copied {
+        self.keeper.as_ref().map_or(Copied::Nothing, |k| k.copied())
+    }
+    fn copy(&self, words: Words) {
+        if let Some(keeper) = &self.keeper {
+            keeper.copy(words);
+        }
+    }
 }
 
 /// Serves clients on `listener`, and reaches all else by `network`, until `stop`, then finishes what was taken. Each
--- a/crates/operations/src/call.rs
+++ b/crates/operations/src/call.rs
@@ -18,6 +18,8 @@
     Cordon(String),
     /// It may serve again.
     Uncordon(String),
+    /// What stands is all that operators have said: the doubt is over.
+    Confirm,
     /// Send clients away.
     Quiesce,
     /// Take clients again.
@@ -29,7 +31,7 @@
 pub enum CallError {
     /// Nothing has this path.
     #[error(
-        "no such call; there are health, start, cordon, uncordon, quiesce and resume under /admin/"
+        "no such call; there are health, start, cordon, uncordon, confirm, quiesce and resume under /admin/"
     )]
     Unknown,
     /// The path is right.
@@ -65,7 +67,7 @@
         let verb = path.strip_prefix("/admin/").ok_or(CallError::Unknown)?;
         let wanted = match verb {
             "health" | "start" => "GET",
-            "cordon" | "uncordon" | "quiesce" | "resume" => "POST",
+            "cordon" | "uncordon" | "confirm" | "quiesce" | "resume" => "POST",
             _ => return Err(CallError::Unknown),
         };
         if method != wanted {
@@ -74,6 +76,7 @@
         Ok(match verb {
             "health" => Self::Health,
             "start" => Self::Start,
+            "confirm" => Self::Confirm,
             "quiesce" => Self::Quiesce,
             "resume" => Self::Resume,
             "cordon" => Self::Cordon(named(body)?),
@@ -108,6 +111,7 @@
         assert_eq!(read("POST", "/admin/uncordon", more), Ok(Call::Uncordon("s-1".into())));
         assert_eq!(read("POST", "/admin/quiesce", "anything"), Ok(Call::Quiesce));
         assert_eq!(read("POST", "/admin/resume", ""), Ok(Call::Resume));
+        assert_eq!(read("POST", "/admin/confirm", ""), Ok(Call::Confirm));
     }
 
     #[test]
@@ -131,7 +135,7 @@
         #[test]
         fn any_bytes_are_read_or_refused(
             method in "(GET|POST|[A-Z]{0,6})",
-            path in "(/admin/)?(health|start|cordon|uncordon|quiesce|resume|.{0,12})",
+            path in "(/admin/)?(health|start|cordon|uncordon|confirm|quiesce|resume|.{0,12})",
             body in proptest::collection::vec(any::<u8>(), 0..64),
         ) {
             if let Err(cause) = Call::read(&method, &path, &body) {
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod store;
 
 pub use call::{Call, CallError};
-pub use said::Said;
+pub use said::{Copied, Said, Words};
 pub use store::{Started, Store, StoreError};
--- a/crates/operations/src/store.rs
+++ b/crates/operations/src/store.rs
@@ -118,6 +118,11 @@
         Ok(said)
     }
 
+    /// Whether there is nothing where what stands is kept: before a first start, and where the file was lost.
+    pub fn is_blank(&self) -> bool {
+        self.text().is_ok_and(|text| text.is_empty())
+    }
+
     /// Puts aside what stands, so that nothing does: for what can't be read. What was put aside before is replaced.
     /// Where it lies now.
     ///
--- a/tests/fleet/comeback.rs
+++ b/tests/fleet/comeback.rs
@@ -10,10 +10,10 @@
 use hollowpaddle_snapshot::{Directory, Store};
 use serde_json::{Value, json};
 
-fn cordon(at: std::net::SocketAddr, name: &str) {
+fn call(at: std::net::SocketAddr, verb: &str, name: &str) {
     let body = json!({"name": name}).to_string();
     let call = format!(
-        "POST /admin/cordon HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST /admin/{verb} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
     assert_eq!(Client::to(at).ask(&call).status(), 200);
@@ -24,7 +24,7 @@
     let (one, two) = (Upstream::start(|_| ok("one")), Upstream::start(|_| ok("two")));
     let mut fleet = start(5, &config(members(&[&one, &two])));
     for number in 0..5 {
-        cordon(fleet.node(number).operators.expect("a door"), "s-0");
+        call(fleet.node(number).operators.expect("a door"), "cordon", "s-0");
     }
     fleet.kill_all();
     fleet.start_all();
@@ -140,7 +140,7 @@
 #[test]
 fn a_snapshot_that_is_lost_old_torn_or_anothers_is_named_and_not_believed() {
     let upstream = Upstream::start(|_| ok("done"));
-    let mut fleet = start(5, &config(members(&[&upstream])));
+    let mut fleet = start(6, &config(members(&[&upstream])));
     taught(&mut fleet);
     fleet.kill_all();
     let now = now();
@@ -149,10 +149,17 @@
     };
     fs::remove_dir_all(state(&fleet, 0)).expect("lost");
     let (of_one, of_two) = (payload(1), payload(2));
-    let old = now - Duration::from_secs(601);
+    let old = now - Duration::from_secs(31 * 24 * 3600);
     for _ in 0..2 {
         store(&fleet, 1).save(old, &of_one).expect("older than is believed");
     }
+    // What was learned is too old, the rest is not.
+    let mut of_five: Value = serde_json::from_slice(&payload(5)).expect("JSON");
+    let learned_ms = of_five["learned_ms"].as_u64().expect("a time");
+    of_five["learned_ms"] = (learned_ms - 601_000).into();
+    for _ in 0..2 {
+        store(&fleet, 5).save(now, of_five.to_string().as_bytes()).expect("saved");
+    }
     for name in ["snapshot", "snapshot.before"] {
         let path = state(&fleet, 2).join(name);
         let whole = fs::read(&path).expect("written");
@@ -167,7 +174,7 @@
     fleet.start_all();
     fleet.until_ready();
     for (number, files, why) in
-        [(0, 0, ""), (1, 2, " s old"), (2, 2, "bytes behind"), (3, 1, "of `n2`")]
+        [(0, 0, ""), (1, 2, " s old"), (2, 2, "bytes behind"), (3, 1, "of `n2`"), (5, 0, "")]
     {
         let told = started(&mut fleet, number);
         let aside = told["start"]["set_aside"].as_array().expect("a list");
@@ -175,7 +182,7 @@
         assert!(aside.iter().all(|a| a.as_str().is_some_and(|a| a.contains(why))), "{told}");
     }
     assert_eq!(started(&mut fleet, 4)["keeps"], false, "nothing can be kept there");
-    for number in 0..5 {
+    for number in 0..6 {
         assert_eq!(
             fleet.client(number).ask(&alarm(&format!("r{number}"), 6000, "x")).status(),
             200
@@ -183,6 +190,52 @@
     }
 }
 
+#[test]
+fn cordons_outlive_the_file_that_holds_them_and_are_doubted_until_confirmed() {
+    let (one, two) = (Upstream::start(|_| ok("one")), Upstream::start(|_| ok("two")));
+    let mut fleet = start(3, &config(members(&[&one, &two])));
+    let door = |fleet: &mut Fleet, n: usize| fleet.node(n).operators.expect("a door");
+    for number in 0..3 {
+        call(door(&mut fleet, number), "cordon", "s-0");
+    }
+    taught(&mut fleet);
+    fleet.kill_all();
+    let said = |n: usize| fleet.directory(n).join(format!("hollowpaddle-n{n}/said.json"));
+    fs::remove_file(said(0)).expect("lost");
+    fs::write(said(1), "{\"cordoned\":[").expect("torn");
+    fs::write(said(2), "{\"cordoned\":[").expect("torn");
+    for name in ["snapshot", "snapshot.before"] {
+        fs::write(state(&fleet, 2).join(name), "torn as well").expect("torn");
+    }
+    fleet.start_all();
+    fleet.until_ready();
+    let _ = one.requests_so_far();
+    let told = |fleet: &mut Fleet, n: usize| started(fleet, n)["said"].clone();
+    for (number, why) in [(0, "the file was gone"), (1, "column"), (2, "may be forgotten")] {
+        let said = told(&mut fleet, number);
+        assert!(said["doubted"].as_str().is_some_and(|d| d.contains(why)), "{number}: {said}");
+        let cordoned = if number == 2 { json!([]) } else { json!(["s-0"]) };
+        assert_eq!(said["cordoned"], cordoned, "{number}");
+        for n in 0..6 {
+            let id = format!("r{number}-{n}");
+            assert_eq!(fleet.client(number).ask(&read(&id, 6000)).status(), 200);
+        }
+        if number < 2 {
+            assert_eq!(one.requests_so_far(), 0, "it was taken out before");
+        }
+    }
+    // A doubt outlasts one more start; a word of an operator ends it, and that outlasts the next.
+    fleet.kill(0);
+    fleet.start_one(0);
+    assert!(told(&mut fleet, 0)["doubted"].is_string());
+    call(door(&mut fleet, 0), "confirm", "");
+    assert_eq!(told(&mut fleet, 0)["doubted"], Value::Null);
+    fleet.kill(0);
+    fleet.start_one(0);
+    let said = told(&mut fleet, 0);
+    assert_eq!((&said["doubted"], &said["cordoned"]), (&Value::Null, &json!(["s-0"])));
+}
+
 #[test]
 fn a_crash_loop_goes_on_without_what_was_stored_and_ends_by_itself() {
     let upstream = Upstream::start(|_| ok("done"));
