Keep the list as last heard, and let what it took out count until discovery speaks

Need: a balancer that comes back while discovery is silent knew only the list in its configuration, and sent to what had left since. At a start, where it is newer than the configuration's: up to 10 min old it counts as it is; up to 30 days what it takes out is out, whom it alone names is tried as one that has just started, and nobody is gone by being left out. Discovery is asked for all that it has then, so that its word wins also where it counts versions anew. One call, as before: it is laid over before the watch begins.

Checked with a process whose discovery is silent after the restart and counts anew later; without the stored list the test fails (it sends to the one that drains).

--- a/crates/comeback/src/beliefs.rs
+++ b/crates/comeback/src/beliefs.rs
@@ -9,6 +9,8 @@
     Fleet,
     /// What was learned of single upstreams since a start of theirs: their way and their slowness.
     Upstreams,
+    /// The list of upstreams as last heard, and when that was.
+    List,
     /// What operators have said.
     Words,
     /// Shares of something that others hold the rest of.
@@ -20,6 +22,9 @@
 pub enum Belief {
     /// As if it had been learned just now.
     Whole,
+    /// What it takes out is out. Whom it alone names is tried as one that has just started; nobody is gone by being left
+    /// out of it.
+    Cautious,
     /// Not at all.
     Nothing,
 }
@@ -30,6 +35,8 @@
 /// An upstream's own: it may have been slow for a passing reason, and one wrong figure sends a share of the load there.
 const UPSTREAMS: Duration = Duration::from_secs(60);
 
+/// Upstreams that it names and drains that it tells of may all be over by then.
+const LIST: Duration = Duration::from_secs(600);
 /// Operators' words count until they are taken back. Of a copy as old as this nobody knows any more what it was for.
 const WORDS: Duration = Duration::from_secs(30 * 24 * 3600);
 
@@ -38,7 +45,8 @@
     let most = match what {
         What::Fleet => FLEET,
         What::Upstreams => UPSTREAMS,
-        What::Words => WORDS,
+        What::List if age > LIST && age <= WORDS => return Belief::Cautious,
+        What::Words | What::List => WORDS,
         // The others went on meanwhile: whatever one held, somebody else may hold now.
         What::Budgets => return Belief::Nothing,
     };
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -24,8 +24,9 @@
 use crate::config::Config;
 use crate::discovery::{self, News};
 use crate::members::List;
-use crate::membership::Membership;
+use crate::membership::{Membership, Part};
 use crate::relay::AnswerBody;
+use crate::relisted::Relisted;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
 use crate::telling::Telling;
@@ -93,6 +94,11 @@
     Learned(oneshot::Sender<Learned>),
     /// What another process of this balancer has.
     Recall(Box<Learned>),
+    /// A part of the list from there on, and whether a watch vouches for it.
+    Listed {
+        from: u32,
+        reply: oneshot::Sender<(Part, bool)>,
+    },
 }
 
 /// A request as the module needs to know it.
@@ -165,6 +171,13 @@
         let _ = self.notes.send(Note::Recall(Box::new(learned)));
     }
 
+    /// A part of the list from there on, and whether a watch on discovery vouches for it.
+    pub async fn list(&self, from: u32) -> Option<(Part, bool)> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Listed { from, reply });
+        answer.await.ok()
+    }
+
     /// Takes these out, and lets all others back; whether that is done.
     /// Told at once; what is returned waits for it to be done.
     pub fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool> + use<> {
@@ -318,6 +331,7 @@
 impl Engine {
     pub fn new(
         config: &Config,
+        relisted: Option<Relisted>,
         pool: Rc<Pool>,
         network: Rc<dyn Network>,
     ) -> Result<(Self, Handle), EngineError> {
@@ -363,6 +377,9 @@
             max_attempts,
         };
         engine.listed(&config.known, ListKind::Restored);
+        if let Some(relisted) = relisted {
+            engine.relisted(relisted);
+        }
         if !must_ask {
             engine.subscribe();
         }
@@ -442,6 +459,10 @@
                     tracing::warn!(%cause, "what an older process has learned is of no use")
                 }
             },
+            Note::Listed { from, reply } => {
+                let vouched = self.watch.is_some() && !self.watch_new;
+                let _ = reply.send((self.upstreams.part(from), vouched));
+            }
             Note::HasNamed { name, reply } => drop(reply.send(self.upstreams.has_named(&name))),
             Note::Cordoned { names, done } => {
                 let list = self.upstreams.cordon(&names, Instant::now());
@@ -583,6 +604,23 @@
         self.upstreams.forget().iter().for_each(|id| self.pool.close_idle(*id));
     }
 
+    /// Lays over the configuration's list what was heard after it. Discovery is asked for all that it has: of changes
+    /// alone, one that counts anew would leave what this took out where it is.
+    fn relisted(&mut self, relisted: Relisted) {
+        let Relisted { list, whole } = relisted;
+        tracing::info!(members = list.members.len(), whole, "goes on from the list as last heard");
+        let told = self.upstreams.update(
+            &list,
+            if whole { ListKind::Restored } else { ListKind::Update },
+            Instant::now(),
+        );
+        let kind = if whole { ListKind::Restored } else { ListKind::Aside };
+        self.listed_as(kind, told.members);
+        self.upstreams.forget().iter().for_each(|id| self.pool.close_idle(*id));
+        self.revision = 0;
+        self.upstreams.count_anew();
+    }
+
     /// Tells the module what the upstreams are now, or the part of them that it knows.
     fn listed_as(&mut self, kind: ListKind, members: Vec<d::Member>) {
         self.ready.set(self.upstreams.any_open());
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -1,18 +1,20 @@
 //! What a balancer keeps for its next start, and what it goes on from at this one. Believed is what
 //! `hollowpaddle_comeback` says, stored is what `hollowpaddle_snapshot` does; here they meet the engine.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use hollowpaddle_comeback::{Belief, SETTLED, Starts, Way, What, belief};
 use hollowpaddle_operations::{Copied, Words};
 use hollowpaddle_policy::learned::Learned;
-use hollowpaddle_snapshot::{Found, Saver, Status};
+use hollowpaddle_snapshot::{Found as Stored, Saver, Status};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
 use crate::engine::Door;
+use crate::members::List;
+use crate::relisted::{Relisted, relisted};
 
 /// How often what was learned is saved. A kill costs the news of so long.
 const EVERY: Duration = Duration::from_secs(2);
@@ -47,7 +49,7 @@
     /// Where this one saves.
     pub keep: Box<dyn Keep>,
     /// What lies there.
-    pub found: Found,
+    pub found: Stored,
 }
 
 /// What is saved. A field that another build does not know is left out there.
@@ -58,6 +60,10 @@
     learned: Option<Learned>,
     /// When that was learned, in milliseconds of Unix time. What is only passed on grows no younger.
     learned_ms: u64,
+    /// The list as last heard.
+    list: Option<List>,
+    /// When that was, in milliseconds of Unix time.
+    list_ms: u64,
     /// What operators have said. None: the build that saved this kept no copy, or nobody was here.
     said: Option<Words>,
 }
@@ -71,6 +77,8 @@
     from: &'static str,
     /// Age of that, in seconds.
     age_s: Option<f64>,
+    /// Age of the list that was laid over the configuration's, in seconds; none, if that did.
+    list_age_s: Option<f64>,
     /// How often the program was started here.
     starts: u64,
     /// Of the starts just before this one, those that ended badly.
@@ -79,6 +87,16 @@
     set_aside: Vec<String>,
 }
 
+/// What was found at a start, as far as it counts.
+pub struct Found {
+    keep: Box<dyn Keep>,
+    now: Duration,
+    state: State,
+    way: Way,
+    list_age_s: Option<f64>,
+    set_aside: Vec<String>,
+}
+
 /// Saves as long as the balancer serves.
 pub struct Keeper {
     keep: Box<dyn Keep>,
@@ -89,11 +107,14 @@
     way: Way,
     comeback: Comeback,
     copied: Copied,
+    /// Lists taken in by the engine, as of the one that is kept.
+    lists: Cell<u64>,
 }
 
-impl Keeper {
-    /// Goes on from what was found, as far as it is to be believed at `now` (Unix time), and notes this start.
-    pub fn start(kept: Kept, now: Duration, engine: Door) -> Rc<Self> {
+impl Found {
+    /// Reads what lies there, as far as it is to be believed at `now` (Unix time), and notes this start. Beside it what
+    /// counts of the list as last heard, over the one that the configuration names.
+    pub fn read(kept: Kept, now: Duration, known: &List) -> (Self, Option<Relisted>) {
         let Kept { keep, found } = kept;
         let mut set_aside = Vec::new();
         for aside in &found.aside {
@@ -115,8 +136,22 @@
         if way > Way::Usual {
             let crashes = state.starts.crashes();
             tracing::error!(crashes, "a crash loop: gone on {}", way.name());
-            (state.learned, state.learned_ms) = (None, 0);
+            (state.learned, state.learned_ms, state.list) = (None, 0, None);
+        }
+        let heard = now.saturating_sub(Duration::from_millis(state.list_ms));
+        let list = state.list.as_ref().and_then(|list| relisted(list, known, heard, now));
+        let list_age_s = list.is_some().then_some(heard.as_secs_f64());
+        if list.is_none() {
+            state.list = None;
         }
+        (Self { keep, now, state, way, list_age_s, set_aside }, list)
+    }
+}
+
+impl Keeper {
+    /// Goes on from what was found.
+    pub fn start(found: Found, engine: Door) -> Rc<Self> {
+        let Found { keep, now, mut state, way, list_age_s, set_aside } = found;
         let age = now.saturating_sub(Duration::from_millis(state.learned_ms));
         let mut from = "nothing";
         if let Some(learned) = state.learned.clone()
@@ -141,9 +176,19 @@
         let (starts, crashes) = (state.starts.count(), state.starts.crashes());
         let age_s = (from == "snapshot").then_some(age.as_secs_f64());
         tracing::info!(way = way.name(), from, age_s, starts, crashes, "comes back");
-        let comeback = Comeback { way: way.name(), from, age_s, starts, crashes, set_aside };
+        let comeback =
+            Comeback { way: way.name(), from, age_s, list_age_s, starts, crashes, set_aside };
         let (epoch, state) = ((now, Instant::now()), RefCell::new(state));
-        let keeper = Rc::new(Self { keep, engine, epoch, state, way, comeback, copied });
+        let keeper = Rc::new(Self {
+            keep,
+            engine,
+            epoch,
+            state,
+            way,
+            comeback,
+            copied,
+            lists: Cell::new(0),
+        });
         // Before anything can go wrong with it: the next start is to know of this one.
         keeper.save();
         keeper
@@ -198,6 +243,7 @@
                 self.state.borrow_mut().starts.settled();
             }
             self.learn().await;
+            self.hear().await;
             self.save();
         }
     }
@@ -214,9 +260,36 @@
         }
     }
 
+    /// Takes in the list as it is by now, part by part, if a watch vouches for it. A list that changes meanwhile is had
+    /// the next time.
+    async fn hear(&self) {
+        if self.way == Way::Bare {
+            return;
+        }
+        let (mut members, mut from) = (Vec::new(), 0);
+        let Some((first, true)) = self.engine.list(from).await else { return };
+        if first.lists != self.lists.get() {
+            let (lists, revision) = (first.lists, first.revision);
+            let mut part = first;
+            loop {
+                members.append(&mut part.members);
+                let Some(next) = part.next else { break };
+                from = next;
+                match self.engine.list(from).await {
+                    Some((next, true)) if next.lists == lists => part = next,
+                    _ => return,
+                }
+            }
+            self.lists.set(lists);
+            self.state.borrow_mut().list = Some(List { revision, complete: true, members });
+        }
+        self.state.borrow_mut().list_ms = self.now().as_millis() as u64;
+    }
+
     /// The process ends in order: saves for the last time, and waits a moment for that.
     pub async fn finish(&self) {
         self.learn().await;
+        self.hear().await;
         {
             let state = &mut *self.state.borrow_mut();
             state.starts.ended();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod operators;
 mod relay;
+mod relisted;
 mod serve;
 mod stream;
 mod subsetting;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,9 +1,9 @@
 //! The list of upstreams as discovery words it, and nothing of how it comes.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// One message of discovery: the whole list, or the entries that changed.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct List {
     /// Its version; a watch goes on from it.
     #[serde(default)]
@@ -28,7 +28,7 @@
 }
 
 /// One upstream, as the list describes it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Entry {
     /// The same at every balancer, whatever its address.
     pub id: String,
@@ -59,7 +59,7 @@
 }
 
 /// Whether an upstream takes requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Phase {
     /// It does.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -24,7 +24,7 @@
 /// The upstreams that the list has named, by the module's handle. Failure: none was ever forgotten, and every
 /// list walked all ids of the day.
 pub struct Membership {
-    ids: FxHashMap<String, ServerId>,
+    ids: FxHashMap<Rc<str>, ServerId>,
     targets: FxHashMap<ServerId, Known>,
     /// A handle is never used twice, or news of one that is gone would be taken for another's.
     next: u32,
@@ -41,9 +41,12 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     grace: Duration,
+    /// Lists taken in so far.
+    lists: u64,
 }
 
 struct Known {
+    name: Rc<str>,
     target: Rc<Target>,
     /// As last listed, whatever operators say.
     listed: d::Member,
@@ -52,6 +55,21 @@
     revision: u64,
 }
 
+/// So many handles are looked at for one part of the whole: the engine has others to serve in between.
+const PART: u32 = 512;
+
+/// A part of the list as it is known here.
+pub struct Part {
+    /// Who is on it.
+    pub members: Vec<Entry>,
+    /// Where the next part begins; nowhere, if this was the last.
+    pub next: Option<u32>,
+    /// The highest version that a list came with.
+    pub revision: u64,
+    /// How many lists have been taken in: whether this part is of the same whole as another.
+    pub lists: u64,
+}
+
 /// What a list comes to.
 pub struct Told {
     /// What it is to the module.
@@ -77,6 +95,7 @@
             zones: config.facts.zones.clone(),
             kinds: config.facts.machine_types.clone(),
             grace,
+            lists: 0,
         }
     }
 
@@ -95,6 +114,32 @@
         self.newest
     }
 
+    /// The list as it is known, from this handle on; cordons are no part of it.
+    pub fn part(&self, from: u32) -> Part {
+        let end = from.saturating_add(PART);
+        let known = (from..end.min(self.next)).filter_map(|id| self.targets.get(&ServerId(id)));
+        let name = |names: &[String], i: u32| names.get(i as usize).cloned().unwrap_or_default();
+        let entry = |known: &Known| {
+            let listed = &known.listed;
+            Entry {
+                id: known.name.to_string(),
+                host_port: known.target.address.get().to_string(),
+                locality: name(&self.zones, listed.zone),
+                flavor: name(&self.kinds, listed.kind),
+                cell: listed.cell,
+                phase: match listed.status {
+                    d::Status::Live => Phase::Serving,
+                    d::Status::Draining | d::Status::Gone => Phase::Draining,
+                },
+                size: listed.weight,
+                up_since_ms: listed.started.map_or(0.0, |t| t.0 as f64 / 1000.0),
+            }
+        };
+        let members = known.filter(|k| !k.gone).map(entry).collect();
+        let next = (end < self.next).then_some(end);
+        Part { members, next, revision: self.newest, lists: self.lists }
+    }
+
     /// From here on versions are another discovery's.
     pub fn count_anew(&mut self) {
         (self.newest, self.floor) = (0, 0);
@@ -113,7 +158,7 @@
         let before = std::mem::replace(&mut self.cordoned, names.clone());
         let mut members = Vec::new();
         for name in before.symmetric_difference(names) {
-            let known = self.ids.get(name).and_then(|id| self.targets.get(id));
+            let known = self.ids.get(name.as_str()).and_then(|id| self.targets.get(id));
             let Some(known) = known.filter(|k| !k.gone) else { continue };
             let member = laid_over(known.listed, names.contains(name));
             let closed = &known.target.closed_from;
@@ -134,6 +179,7 @@
     /// the last of it counts, and none is gone by being left out. Failure: nor did anybody come in by it, so that
     /// a newcomer that it alone named stayed unknown until something else about it changed.
     pub fn update(&mut self, list: &List, kind: ListKind, now: Instant) -> Told {
+        self.lists += 1;
         let older = list.revision < self.newest;
         self.newest = self.newest.max(list.revision);
         let kind = if older { ListKind::Update } else { kind };
@@ -152,7 +198,7 @@
         }
         let (mut members, mut moved) = (Vec::with_capacity(list.members.len()), Vec::new());
         for entry in &list.members {
-            let known = self.ids.get(&entry.id).and_then(|id| self.targets.get(id));
+            let known = self.ids.get(entry.id.as_str()).and_then(|id| self.targets.get(id));
             if known.is_some_and(|k| list.revision < k.revision) {
                 continue;
             }
@@ -230,16 +276,17 @@
     }
 
     fn id(&mut self, entry: &Entry, address: SocketAddr) -> ServerId {
-        if let Some(id) = self.ids.get(&entry.id) {
+        if let Some(id) = self.ids.get(entry.id.as_str()) {
             return *id;
         }
         let id = ServerId(self.next);
         self.next += 1;
-        self.ids.insert(entry.id.clone(), id);
+        let name: Rc<str> = entry.id.as_str().into();
+        self.ids.insert(name.clone(), id);
         let (address, closed_from) = (Cell::new(address), Cell::new(None));
         let target = Rc::new(Target { address, closed_from });
         let listed = self.member(id, entry);
-        self.targets.insert(id, Known { target, listed, gone: false, revision: 0 });
+        self.targets.insert(id, Known { name, target, listed, gone: false, revision: 0 });
         id
     }
 
@@ -308,7 +355,7 @@
         let told = of.update(list, kind, Instant::now());
         of.forget();
         let open = |id: &ServerId| of.targets[id].target.closed_from.get().is_none();
-        let names = of.ids.iter().filter(|(_, id)| open(id)).map(|(name, _)| name.clone());
+        let names = of.ids.iter().filter(|(_, id)| open(id)).map(|(name, _)| name.to_string());
         let mut names: Vec<String> = names.collect();
         names.sort();
         (told.kind, told.members.len(), names.join(" "))
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -509,7 +509,7 @@
         let done: Vec<u64> = out.iter().filter(|o| o.2 == 0).map(|o| o.0).collect();
         out.retain(|o| o.2 > 0);
         done.into_iter().for_each(|id| w.outcome(id, 0, Outcome::Ok));
-        for action in w.log[known..].to_vec() {
+        for action in &w.log[known..] {
             if let Action::Send { request, server, .. } = action {
                 beside += usize::from(out.iter().any(|o| o.1 == server.0));
                 out.push((request.0, server.0, 10));
--- a/tests/fleet/comeback.rs
+++ b/tests/fleet/comeback.rs
@@ -236,6 +236,47 @@
     assert_eq!((&said["doubted"], &said["cordoned"]), (&Value::Null, &json!(["s-0"])));
 }
 
+/// Lines of a watch: the whole list, with a version.
+fn tell(stream: &mut std::net::TcpStream, revision: u64, members: &[Value]) {
+    let list = json!({"revision": revision, "complete": true, "members": members});
+    chunk(stream, &format!("{list}\n"));
+}
+
+#[test]
+fn the_list_as_last_heard_counts_until_discovery_speaks() {
+    let ups: Vec<Upstream> = (0..3).map(|_| Upstream::start(|_| ok("done"))).collect();
+    let mut fleet = start(1, &config(members(&[&ups[0], &ups[1]])));
+    let (_, mut watch) = fleet.discovery(0).watch();
+    let listed = |phases: [&str; 3]| -> Vec<Value> {
+        (0..3).map(|i| member(&format!("s-{i}"), ups[i].address, phases[i])).collect()
+    };
+    tell(&mut watch, 900, &listed(["DRAINING", "SERVING", "SERVING"]));
+    let list = |fleet: &Fleet| {
+        let found = store(fleet, 0).load(now(), Duration::from_secs(60)).snapshot;
+        let state = found.and_then(|s| serde_json::from_slice::<Value>(&s.payload).ok());
+        state.map_or(0, |s| s["list"]["revision"].as_u64().unwrap_or(0))
+    };
+    until("the list is saved", || list(&fleet) == 900);
+    fleet.kill_all();
+    fleet.start_all();
+    fleet.until_ready();
+    assert!(started(&mut fleet, 0)["start"]["list_age_s"].is_number());
+    let mut client = fleet.client(0);
+    let mut ask = |of: &str| {
+        ups.iter().for_each(|u| _ = u.requests_so_far());
+        for n in 0..12 {
+            assert_eq!(client.ask(&read(&format!("{of}-{n}"), 6000)).status(), 200);
+        }
+        ups.iter().map(|u| u.requests_so_far() > 0).collect::<Vec<_>>()
+    };
+    assert!(!ask("silent")[0], "it drains, as far as anybody knows");
+    let (asked, mut watch) = fleet.discovery(0).watch();
+    assert!(asked.contains("index=0"), "{asked}");
+    // A discovery that counts anew: its word wins, whatever the versions.
+    tell(&mut watch, 2, &listed(["SERVING", "DRAINING", "DRAINING"]));
+    until("its word is done", || ask("told") == [true, false, false]);
+}
+
 #[test]
 fn a_crash_loop_goes_on_without_what_was_stored_and_ends_by_itself() {
     let upstream = Upstream::start(|_| ok("done"));
