--- a/crates/policy/benches/fleet/mod.rs
+++ b/crates/policy/benches/fleet/mod.rs
@@ -45,7 +45,7 @@
 /// One proxy before `n` upstreams that run one request at a time, at so much of what they can do; arrivals as of
 /// a Poisson process, exponential work.
 pub struct Fleet<M> {
-    module: M,
+    pub module: M,
     rng: Rand64,
     now: i64,
     next: f64,
--- a/crates/policy/benches/scale.rs
+++ b/crates/policy/benches/scale.rs
@@ -42,6 +42,18 @@
     format!("{same:.0} | {anew:.0} | {:.0}", of(&[]))
 }
 
+/// What telling all that was learned costs, in microseconds: one event of the engine's, each time it is saved.
+fn learned(n: u32) -> f64 {
+    let mut fleet = Fleet::<Balancer>::new(n, 0.6);
+    fleet.run(u64::from(n) * 10);
+    let round = || {
+        let begin = std::time::Instant::now();
+        std::hint::black_box(fleet.module.learned());
+        begin.elapsed().as_secs_f64() * 1e6
+    };
+    (0..ROUNDS).map(|_| round()).fold(f64::MAX, f64::min)
+}
+
 fn main() {
     // `cargo test` builds benches too and runs them with this.
     if std::env::args().any(|a| a == "--test") {
@@ -51,6 +63,7 @@
     if let [load, n] = numbers[..] {
         println!("| {load} | {n} | {} |", row::<Balancer>(n as u32, load));
         println!("whole lists, us: {}", lists(n as u32));
+        println!("what was learned, us: {:.0}", learned(n as u32));
         return;
     }
     println!(
@@ -73,4 +86,8 @@
     for n in [64, 1024, 10_000] {
         println!("| {n} | {} |", lists(n));
     }
+    println!("\n| upstreams | what was learned, told in one piece, us |\n| --- | --- |");
+    for n in [64, 1024, 10_000] {
+        println!("| {n} | {:.0} |", learned(n));
+    }
 }
