--- a/crates/ctl/src/rehearse.rs
+++ b/crates/ctl/src/rehearse.rs
@@ -97,6 +97,9 @@
     /// With --sweep or --swept: days of banks that break, with every fault there is.
     #[arg(long)]
     fleets: bool,
+    /// With --sweep or --swept: days of banks that come back with old state to a fleet that was replaced in part.
+    #[arg(long, conflicts_with = "fleets")]
+    comebacks: bool,
 }
 
 const BROKEN: u8 = 1;
@@ -167,7 +170,11 @@
 
 /// How a sweep draws its days.
 fn drawn(arguments: &Arguments) -> fn(u64) -> Scenario {
-    if arguments.fleets { sweep::fleet_scenario } else { sweep::scenario }
+    match (arguments.fleets, arguments.comebacks) {
+        (true, _) => sweep::fleet_scenario,
+        (_, true) => sweep::comeback_scenario,
+        _ => sweep::scenario,
+    }
 }
 
 /// Whether the twin is to be played.
--- a/crates/rehearsal/src/sweep.rs
+++ b/crates/rehearsal/src/sweep.rs
@@ -210,6 +210,51 @@
     day
 }
 
+/// A day of a bank that keeps its state and comes back with an old copy of it, to a fleet of which a part was replaced or
+/// has left meanwhile, while the list is down, stale or late for some more seconds; and the faults of the seed's own day.
+pub fn comeback_scenario(seed: u64) -> Scenario {
+    let mut day = scenario(seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(96);
+    let length = day.length.as_secs() as u32;
+    day.name = format!("sweep-comebacks-{seed}");
+    day.about = "a bank that comes back with old copies to another fleet, on top of random faults"
+        .to_string();
+    day.bank.count = rng.random_range(3..=8);
+    day.bank.keeps_state = true;
+    let down = rng.random_range(2_000..length * 1000 / 2);
+    let away = rng.random_range(300..4_000);
+    let share = |share: f64| Selection { share: Some(share), ..Selection::default() };
+    let mut strike = |kind: FaultKind, start: u32, length: u32, selection: Selection| {
+        let (start, length) = (ms(start), ms(length));
+        let group = kind.strikes_balancers().then(|| "back".to_string());
+        day.faults.push(Fault { start, length, selection, kind, group, line: 0 });
+    };
+    let struck = share(0.5 + 0.5 * rng.random::<f64>());
+    let spread = ms(rng.random_range(0..500));
+    strike(FaultKind::BalancerKill { spread, again: None }, down, away, struck.clone());
+    let age = ms(rng.random_range(1_000..12_000));
+    strike(FaultKind::StateOld { age }, down + away / 2, 0, struck);
+    let replaced = share(0.2 + 0.4 * rng.random::<f64>());
+    let fleet = if rng.random() {
+        FaultKind::Drain
+    } else {
+        FaultKind::Replace { same_address: rng.random() }
+    };
+    let (from, long) = (down - rng.random_range(0..2_000), rng.random_range(1_000..8_000));
+    strike(fleet, from, long, replaced);
+    let list = match rng.random_range(0..4) {
+        0 => FaultKind::ListDown,
+        1 => FaultKind::ListStale,
+        2 => FaultKind::ListLate { by: ms(rng.random_range(500..5_000)) },
+        _ => FaultKind::ListCut,
+    };
+    let cut =
+        if matches!(list, FaultKind::ListCut) { share(rng.random()) } else { Selection::default() };
+    strike(list, down + away.saturating_sub(300), rng.random_range(500..8_000), cut);
+    day
+}
+
 fn bank_fault(rng: &mut ChaCha8Rng, length: u32, bank: &Bank) -> Fault {
     let way = [Way::Both, Way::Out, Way::In][rng.random_range(0..3)];
     let kind = match rng.random_range(0..if bank.keeps_state { 12 } else { 8 }) {
