--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -290,7 +290,7 @@
         // cores, learned one by one, a quarter was refused for the first minute of a quiet day). Not beyond
         // one's own part: there the trials of a bank would meet. Fewer where many proxies share an upstream:
         // it is their requests that fill its lanes then, each learns for itself, and what a bank pays for
-        // that grows with it (failure: a bank of ten that started anew crowded half of its upstreams for 5 s).
+        // that grows with it (failure: a bank of ten, all anew, crowded half of its upstreams for 5 s).
         for i in std::mem::take(&mut self.trying) {
             self.up.servers[i].trial = 0;
             self.touch(now, i);
