--- a/crates/comeback/src/beliefs.rs
+++ b/crates/comeback/src/beliefs.rs
@@ -37,16 +37,19 @@
 
 /// Upstreams that it names and drains that it tells of may all be over by then.
 const LIST: Duration = Duration::from_secs(600);
-/// Operators' words count until they are taken back. Of a copy as old as this nobody knows any more what it was for.
-const WORDS: Duration = Duration::from_secs(30 * 24 * 3600);
+/// Operators' words count until they are taken back, and what a list took out until the list says otherwise. Of a copy as
+/// old as this nobody knows any more what it was for.
+const OLDEST: Duration = Duration::from_secs(30 * 24 * 3600);
 
 /// How far knowledge of this age is believed, where the list has nothing to say against it. What the list says wins.
 pub fn belief(what: What, age: Duration) -> Belief {
     let most = match what {
         What::Fleet => FLEET,
         What::Upstreams => UPSTREAMS,
-        What::List if age > LIST && age <= WORDS => return Belief::Cautious,
-        What::Words | What::List => WORDS,
+        What::List if age <= LIST => return Belief::Whole,
+        What::List if age <= OLDEST => return Belief::Cautious,
+        What::List => return Belief::Nothing,
+        What::Words => OLDEST,
         // The others went on meanwhile: whatever one held, somebody else may hold now.
         What::Budgets => return Belief::Nothing,
     };
@@ -55,5 +58,5 @@
 
 /// Beyond this age nothing is believed of anything.
 pub fn oldest() -> Duration {
-    FLEET.max(UPSTREAMS).max(WORDS)
+    OLDEST
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -106,3 +106,24 @@
     }
     out + &said
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_doubt_is_told_with_what_stands_whether_anything_is_kept_or_not() {
+        let start =
+            json!({"starts": 2, "way": "usual", "from": "nothing", "crashes": 0, "set_aside": []});
+        for mut told in
+            [json!({"keeps": false}), json!({"keeps": true, "start": start, "saving": {}})]
+        {
+            assert!(is_usual(&told) && !text(&told).contains("DOUBT"), "{told}");
+            told["said"] = json!({"cordoned": ["s-1", "s-2"], "doubted": "it was torn"});
+            let shown = text(&told);
+            assert!(!is_usual(&told) && shown.contains("CORDONS IN DOUBT: it was torn"), "{shown}");
+            assert!(shown.contains("cordoned now: s-1, s-2"), "{shown}");
+        }
+    }
+}
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -8,7 +8,7 @@
 use hollowpaddle_comeback::{Belief, SETTLED, Starts, Way, What, belief};
 use hollowpaddle_operations::{Copied, Words};
 use hollowpaddle_policy::learned::Learned;
-use hollowpaddle_snapshot::{Found as Stored, Saver, Status};
+use hollowpaddle_snapshot::{Found, Saver, Status};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
@@ -49,7 +49,7 @@
     /// Where this one saves.
     pub keep: Box<dyn Keep>,
     /// What lies there.
-    pub found: Stored,
+    pub found: Found,
 }
 
 /// What is saved. A field that another build does not know is left out there.
@@ -88,7 +88,7 @@
 }
 
 /// What was found at a start, as far as it counts.
-pub struct Found {
+pub struct Recovered {
     keep: Box<dyn Keep>,
     now: Duration,
     state: State,
@@ -111,7 +111,7 @@
     lists: Cell<u64>,
 }
 
-impl Found {
+impl Recovered {
     /// Reads what lies there, as far as it is to be believed at `now` (Unix time), and notes this start. Beside it what
     /// counts of the list as last heard, over the one that the configuration names.
     pub fn read(kept: Kept, now: Duration, known: &List) -> (Self, Option<Relisted>) {
@@ -150,8 +150,8 @@
 
 impl Keeper {
     /// Goes on from what was found.
-    pub fn start(found: Found, engine: Door) -> Rc<Self> {
-        let Found { keep, now, mut state, way, list_age_s, set_aside } = found;
+    pub fn start(recovered: Recovered, engine: Door) -> Rc<Self> {
+        let Recovered { keep, now, mut state, way, list_age_s, set_aside } = recovered;
         let age = now.saturating_sub(Duration::from_millis(state.learned_ms));
         let mut from = "nothing";
         if let Some(learned) = state.learned.clone()
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -97,13 +97,21 @@
         tracing::error!(%cause, "put aside as {}", aside.display());
         torn = Some(cause.to_string());
     }
-    if torn.is_some() || store.is_blank() {
+    if torn.is_some() || *copied != Copied::Nothing && store.is_blank() {
         let said = patiently(|| store.change(|said| said.recover(torn.as_deref(), copied))).await?;
         warn(&said);
     }
     patiently(|| store.start()).await
 }
 
+/// What stands where there is no store to join (`torn`: why it can't be used, if there should be one).
+fn alone(torn: Option<&str>, copied: &Copied) -> (Option<Store>, Option<Started>, Said) {
+    let mut said = Said::default();
+    said.recover(torn, copied);
+    warn(&said);
+    (None, None, said)
+}
+
 /// Tells of a doubt, if there is one.
 fn warn(said: &Said) {
     if let Some(doubt) = &said.doubted {
@@ -122,20 +130,12 @@
     pub async fn join(balancer: B, store: Option<Store>) -> Rc<Self> {
         let copied = balancer.copied();
         let (store, started, said) = match store {
-            None => {
-                let mut said = Said::default();
-                said.recover(None, &copied);
-                warn(&said);
-                (None, None, said)
-            }
+            None => alone(None, &copied),
             Some(mut store) => match joined(&mut store, &copied).await {
                 Ok((started, said)) => (Some(store), Some(started), said),
                 Err(cause) => {
                     tracing::error!(%cause, "what operators say is not kept: tell this process anew after each start");
-                    let mut said = Said::default();
-                    said.recover(Some(&cause.to_string()), &copied);
-                    warn(&said);
-                    (None, None, said)
+                    alone(Some(&cause.to_string()), &copied)
                 }
             },
         };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::clients::Front;
 use crate::config::Config;
 use crate::engine::{Door, Engine, EngineError};
-use crate::kept::{Found, Keeper, Kept};
+use crate::kept::{Keeper, Kept, Recovered};
 use crate::operators::{Operated, Operating, Operators};
 use crate::tasks::AbortOnDrop;
 use crate::upstreams::Pool;
@@ -88,8 +88,8 @@
     let budget = config.budget();
     let pool = Pool::new(budget.upstreams, &config, network.clone());
     let started = network.unix_now();
-    let found = kept.map(|kept| Found::read(kept, started, &config.known));
-    let (found, relisted) = found.map_or((None, None), |(found, list)| (Some(found), list));
+    let recovered = kept.map(|kept| Recovered::read(kept, started, &config.known));
+    let (recovered, relisted) = recovered.map_or((None, None), |(all, list)| (Some(all), list));
     let (engine, handle) = Engine::new(&config, relisted, pool, network)?;
     let mut engine = AbortOnDrop(tokio::task::spawn_local(engine.run()));
     let reload = handle.reloader();
@@ -100,7 +100,7 @@
     }));
     let engine_door = handle.door();
     // Before any client comes: what is gone on from is there for the first.
-    let keeper = found.map(|found| Keeper::start(found, handle.door()));
+    let keeper = recovered.map(|all| Keeper::start(all, handle.door()));
     let _keeps = keeper.clone().map(|k| AbortOnDrop(tokio::task::spawn_local(k.follow())));
     let front = Rc::new(Front::new(&config, handle, &budget));
     let machine = Machine { engine: engine_door, front: front.clone(), keeper: keeper.clone() };
--- a/crates/operations/src/said.rs
+++ b/crates/operations/src/said.rs
@@ -54,11 +54,6 @@
         Words { cordoned, quiesced, doubted, last: false }
     }
 
-    /// Whether operators have said anything that still counts.
-    pub fn is_silent(&self) -> bool {
-        self.cordoned.is_empty() && !self.quiesced && self.doubted.is_none()
-    }
-
     /// Takes in a copy, where the file that held this was gone or could not be read (`torn`: why). A cordon that was
     /// taken back meanwhile costs an upstream until an operator has looked; one that is forgotten sends to a machine
     /// that somebody may have in hand. So what the copy has is done, and doubted unless it is known to be the last word.
@@ -174,7 +169,6 @@
         let mut next = Said::default();
         next.recover(None, &Copied::Words(words));
         assert_eq!(next.doubted, first);
-        assert!(!next.is_silent());
     }
 
     #[test]
--- a/crates/rehearsal/src/sweep.rs
+++ b/crates/rehearsal/src/sweep.rs
@@ -178,16 +178,23 @@
     }
 }
 
-/// A day of a bank that breaks: that of the seed, with more balancers, which may send one another datagrams and keep what
-/// they store, and two to five faults of balancers, links and stored state on top of its own.
-pub fn fleet_scenario(seed: u64) -> Scenario {
+/// The day of the seed with a bank of several, what is drawn for it beyond that comes from this stream, and its length in
+/// seconds.
+fn bank_day(seed: u64, stream: u64, of: &str, about: &str) -> (Scenario, ChaCha8Rng, u32) {
     let mut day = scenario(seed);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    rng.set_stream(98);
-    let length = day.length.as_secs() as u32;
-    day.name = format!("sweep-fleets-{seed}");
-    day.about = "random faults of a bank, on top of random others".to_string();
+    rng.set_stream(stream);
+    (day.name, day.about) = (format!("sweep-{of}-{seed}"), about.to_string());
     day.bank.count = rng.random_range(3..=8);
+    let length = day.length.as_secs() as u32;
+    (day, rng, length)
+}
+
+/// A day of a bank that breaks: that of the seed, with more balancers, which may send one another datagrams and keep what
+/// they store, and two to five faults of balancers, links and stored state on top of its own.
+pub fn fleet_scenario(seed: u64) -> Scenario {
+    let about = "random faults of a bank, on top of random others";
+    let (mut day, mut rng, length) = bank_day(seed, 98, "fleets", about);
     (day.bank.peers, day.bank.keeps_state) = (true, rng.random());
     for _ in 0..rng.random_range(2..=5) {
         let fault = bank_fault(&mut rng, length, &day.bank);
@@ -213,14 +220,8 @@
 /// A day of a bank that keeps its state and comes back with an old copy of it, to a fleet of which a part was replaced or
 /// has left meanwhile, while the list is down, stale or late for some more seconds; and the faults of the seed's own day.
 pub fn comeback_scenario(seed: u64) -> Scenario {
-    let mut day = scenario(seed);
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    rng.set_stream(96);
-    let length = day.length.as_secs() as u32;
-    day.name = format!("sweep-comebacks-{seed}");
-    day.about = "a bank that comes back with old copies to another fleet, on top of random faults"
-        .to_string();
-    day.bank.count = rng.random_range(3..=8);
+    let about = "a bank that comes back with old copies to another fleet, on top of random faults";
+    let (mut day, mut rng, length) = bank_day(seed, 96, "comebacks", about);
     day.bank.keeps_state = true;
     let down = rng.random_range(2_000..length * 1000 / 2);
     let away = rng.random_range(300..4_000);
