Read the list as a stream of objects: one over several lines ended the watch

Seen: a list that came indented ended the watch with "a line that is no list: EOF while parsing an object", and so did each watch after it: no news was ever heard again.

At fault: discovery.rs, `follow`, which took each line for a whole object. HTTP framing and pieces were ruled out: the same list on one line was read, in pieces too.

White space between or within objects is a sign of life as before.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hollowpaddle_net::Network;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::members::List;
+use crate::objects::{ObjectError, Objects};
 use crate::tasks::AbortOnDrop;
 
 /// A watch says something every 2 s; without a word for this long it is dead, though nothing told so (a
@@ -21,8 +22,6 @@
 const SILENCE: Duration = Duration::from_millis(3500);
 /// A call that waits for its turn longer than this has failed.
 const CALL: Duration = Duration::from_millis(3000);
-/// No line of a list is longer than this; more is not discovery.
-const LONGEST_LINE: usize = 4 << 20;
 
 /// What a watch tells.
 pub enum News {
@@ -42,10 +41,8 @@
     Status(hyper::StatusCode),
     #[error("silent for too long")]
     Silent(#[from] tokio::time::error::Elapsed),
-    #[error("a line that is no list: {0}")]
-    Malformed(#[from] serde_json::Error),
-    #[error("a line without end")]
-    Endless,
+    #[error("{0}")]
+    Malformed(#[from] ObjectError),
     #[error("ended")]
     Ended,
     #[error("request: {0}")]
@@ -88,7 +85,7 @@
         return Err(WatchError::Status(response.status()));
     }
     let mut body = response.into_body();
-    let mut lines = BytesMut::new();
+    let mut objects = Objects::default();
     loop {
         let frame = if beats {
             timeout(SILENCE, body.frame()).await?
@@ -97,17 +94,7 @@
         };
         let frame = frame.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
-        lines.extend_from_slice(&data);
-        // A line may come in pieces, and several may come at once.
-        while let Some(end) = lines.iter().position(|b| *b == b'\n') {
-            let line = lines.split_to(end + 1);
-            if line.trim_ascii().is_empty() {
-                continue; // A heartbeat.
-            }
-            tell(News::List(serde_json::from_slice(&line)?));
-        }
-        if lines.len() > LONGEST_LINE {
-            return Err(WatchError::Endless);
-        }
+        // White space between objects is a heartbeat.
+        objects.take(&data, |list| tell(News::List(list)))?;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod kept;
 pub mod members;
 mod membership;
+mod objects;
 mod operators;
 mod relay;
 mod relisted;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod reload;
 mod serving;
 mod spoilt;
+mod watches;
 
 use hollowpaddle_rehearsal::scripted::Node;
 use serde_json::Value;
--- /dev/null
+++ b/tests/node/watches.rs
@@ -0,0 +1,66 @@
+//! Watches on the list: however it is written, whenever they fall silent, end or are opened anew.
+
+use std::io::Write;
+use std::time::Instant;
+
+use crate::start;
+use hollowpaddle_rehearsal::scripted::*;
+use serde_json::{Value, json};
+
+/// A list that has the one upstream at this one's address.
+fn at(revision: u64, complete: bool, upstream: &Upstream) -> Value {
+    let members = [member("s-0", upstream.address, "SERVING")];
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+/// Asks until this one answers.
+fn served_by(client: &mut Client, body: &str) {
+    let from = Instant::now();
+    while client.ask(&read("r1", 5000)).body != body.as_bytes() {
+        assert!(from.elapsed() < SOON, "{body} is not heard of");
+    }
+}
+
+#[test]
+fn a_list_is_read_over_several_lines_and_in_any_pieces() {
+    let [a, b, c, d] = ["a", "b", "c", "d"].map(|name| Upstream::start(move |_| ok(name)));
+    let node = start(&config(members(&[&a])));
+    let mut client = node.client();
+    served_by(&mut client, "a");
+    let (_, mut watch) = node.discovery.watch();
+    let pretty = |list: &Value| serde_json::to_string_pretty(list).expect("text");
+    chunk(&mut watch, &format!("\n{}\n\n", pretty(&at(42, true, &b))));
+    served_by(&mut client, "b");
+    // Byte by byte, each a chunk of its own, a heartbeat behind each line and behind the whole.
+    for line in pretty(&at(43, false, &c)).lines() {
+        line.chars().for_each(|byte| chunk(&mut watch, &byte.to_string()));
+        chunk(&mut watch, "\n\n");
+    }
+    served_by(&mut client, "c");
+    // Two at once, the second on the first one's line.
+    chunk(&mut watch, &format!("{}{}\n", pretty(&at(44, false, &a)), at(45, false, &d)));
+    served_by(&mut client, "d");
+    assert!(node.discovery.watches.try_recv().is_err(), "the watch was opened anew");
+}
+
+#[test]
+fn a_watch_that_says_what_is_no_list_is_opened_anew_and_costs_nothing_else() {
+    let [a, b] = ["a", "b"].map(|name| Upstream::start(move |_| ok(name)));
+    let node = start(&config(members(&[&a])));
+    let mut client = node.client();
+    for nonsense in ["{\"revision\": }\n", "<html>\n", "[[[[\n]]]]", "{\"members\": 7}", "\u{0}"] {
+        let (_, mut watch) = node.discovery.watch();
+        chunk(&mut watch, nonsense);
+        served_by(&mut client, "a");
+    }
+    // Broken off in the middle of an object: nothing of it counts.
+    let (_, mut watch) = node.discovery.watch();
+    let text = at(42, true, &b).to_string();
+    chunk(&mut watch, &text[..text.len() - 1]);
+    watch.write_all(b"0\r\n\r\n").expect("the watch is open");
+    let (call, mut watch) = node.discovery.watch();
+    assert_eq!(call, "GET /api/targets?stream=1&index=41 HTTP/1.1");
+    served_by(&mut client, "a");
+    chunk(&mut watch, &text);
+    served_by(&mut client, "b");
+}
