Reckon what warm upstreams served by those that were warm then, not by those left

Seen: the pace to cold upstreams is what one warm upstream was seen to serve, answers of the last window over the weight of the warm ones of this moment. As upstreams go one after another (a lost zone, a release), the answers of those gone stay in the count while the weight shrinks, so the last warm ones seem to have served what all had, and that peak is kept for as long as an upstream is cold. Every proxy of a bank errs the same way, so that together they send a cold upstream a multiple of its budget.

Test: crates/policy/tests/cold.rs plays whole banks (1, 6, 20, 30 modules) before one fleet in time of its own, one in ten, half and all upstreams cold, and holds the sum of all sends in any window against N + 2 x root of N + 2.

At fault: refresh_warm in policy.rs divided by up.warm_weight. The weight now decays as the count of answers does, and is never less than that of now.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1053,22 +1053,24 @@
     }
 
     fn refresh_warm(&mut self, now: Time) {
-        let elapsed = now.since(self.fleet.counted).f();
-        self.fleet.counted = now;
+        let elapsed = now.since(std::mem::replace(&mut self.fleet.counted, now)).f();
         self.fleet.paced = self.fleet.ts;
         let window = self.settings.rules.tip_after.f().max(1.0);
         let cold = self.settings.rules.cold.f().max(1.0);
-        let f = &mut self.fleet;
-        f.warm_served.iter_mut().for_each(|w| *w *= (-elapsed / window).exp());
+        let (f, decay) = (&mut self.fleet, (-elapsed / window).exp());
+        f.warm_served.iter_mut().for_each(|w| *w *= decay);
+        // Failure: as upstreams went one after another, the last ones seemed to have served what all had.
+        let weights = f.warm_past.iter_mut().zip(&self.up.warm_weight);
+        weights.for_each(|(past, weight)| *past = (*past * decay).max(weight.get()));
         // Failure: when the warm ones slowed, the young, who did not, were held back with them.
         let keep = |peak: &mut f64, served: f64, weight: f64| {
             let seen = if weight > 0.0 && served >= 1.0 { served / window / weight } else { 0.0 };
             *peak = (*peak * (-elapsed / cold).exp()).max(seen);
         };
-        let weight = self.up.warm_weight.iter().map(Sum::get);
-        keep(&mut f.any_rate, f.warm_served.iter().sum(), weight.clone().sum());
-        for ((peak, served), weight) in f.warm_rate.iter_mut().zip(&f.warm_served).zip(weight) {
-            keep(peak, *served, weight);
+        keep(&mut f.any_rate, f.warm_served.iter().sum(), f.warm_past.iter().sum());
+        let served = f.warm_served.iter().zip(&f.warm_past);
+        for (peak, (served, weight)) in f.warm_rate.iter_mut().zip(served) {
+            keep(peak, *served, *weight);
         }
     }
 }
@@ -1234,6 +1236,7 @@
         let kinds = self.up.warm_weight.len();
         self.fleet.lanes.resize_with(kinds, Lanes::new);
         self.fleet.warm_served.resize(kinds, 0.0);
+        self.fleet.warm_past.resize(kinds, 0.0);
         self.fleet.warm_rate.resize(kinds, 0.0);
         for c in &changed {
             let s = &mut self.up.servers[c.server];
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -290,6 +290,8 @@
     /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit of weight
     /// that was seen lately, by kind and over all.
     pub(crate) warm_served: Vec<f64>,
+    /// The weight that served them: the most there was, decaying as their count does.
+    pub(crate) warm_past: Vec<f64>,
     pub(crate) warm_rate: Vec<f64>,
     pub(crate) any_rate: f64,
     pub(crate) counted: Time,
--- /dev/null
+++ b/crates/policy/tests/cold.rs
@@ -0,0 +1,449 @@
+//! Rule 4 over a whole bank: what all proxies together send to a cold upstream, against what it can bear. Many
+//! modules before one fleet, in time that only these tests move; what is counted is what the upstreams were sent.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use hollowpaddle_policy::interface::*;
+use hollowpaddle_policy::policy::Balancer;
+use oorandom::Rand64;
+
+const MS: i64 = 1000;
+const SECOND: i64 = 1000 * MS;
+/// One way between a proxy and an upstream.
+const WAY: i64 = MS;
+/// Work of a request, on a core of speed 1.
+const WORK: f64 = 140_000.0;
+/// What an upstream holds at most; it turns away what comes beyond.
+const HOLDS: usize = 7;
+/// Cold upstreams go at this time, and are back, cold, at that.
+const GONE: i64 = 12 * SECOND;
+const BACK: i64 = 15 * SECOND;
+
+/// What a bank is put through.
+#[derive(Clone, Copy, Debug)]
+struct Day {
+    proxies: u32,
+    upstreams: usize,
+    /// How many upstreams come back cold.
+    cold: usize,
+    /// Of what the warm fleet can do.
+    load: f64,
+    /// The first proxy gets so many times the others' traffic.
+    favoured: f64,
+    /// Every tenth proxy is started anew, one tenth after another, once cold upstreams are there.
+    restarts: bool,
+    /// Every proxy gets three requests at once, so long after the cold ones came back.
+    at_once: Option<i64>,
+    /// Those that are not cold go for good, so long after the cold ones came back.
+    alone: Option<i64>,
+    /// From so long after the cold ones came back every proxy has more to send than it may, for 4 s, and cold ones answer
+    /// all of it as quickly as a warm one answers a single request: nothing but their pace holds proxies back.
+    greed: Option<i64>,
+    /// Upstreams go one after another within so long, and come back so.
+    one_by_one: i64,
+    /// Within how long the list's words of going and coming reach the proxies.
+    spread: i64,
+    seed: u64,
+}
+
+const DAY: Day = Day {
+    proxies: 1,
+    upstreams: 48,
+    cold: 5,
+    load: 0.7,
+    favoured: 1.0,
+    restarts: false,
+    at_once: None,
+    alone: None,
+    greed: None,
+    one_by_one: 0,
+    spread: SECOND,
+    seed: 1,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(usize, u32, u64),
+    Client(usize),
+    /// A crowd's request, which brings no next one.
+    Crowd(usize),
+    /// At an upstream: from whom, which life of it, which request and attempt, sent when.
+    Arrive(usize, usize, u32, u64, usize, i64),
+    Work(usize, u32),
+    Answer(usize, u32, u64, usize, usize, bool, i64),
+    Go(usize),
+    Back(usize),
+    Word(usize, usize, bool),
+    Restart(usize),
+}
+
+/// A request at an upstream.
+type Job = (usize, u32, u64, usize, i64);
+
+struct Upstream {
+    speed: f64,
+    started: Option<i64>,
+    up: bool,
+    life: u32,
+    held: VecDeque<Job>,
+    sent: Vec<i64>,
+}
+
+struct Bank {
+    day: Day,
+    settings: Settings,
+    rng: Rand64,
+    now: i64,
+    due: BinaryHeap<Reverse<(i64, u64, Due)>>,
+    order: u64,
+    proxies: Vec<Balancer>,
+    lives: Vec<u32>,
+    tries: BTreeMap<u64, usize>,
+    last: u64,
+    fleet: Vec<Upstream>,
+    served: u64,
+    /// What came while cold ones were there, and what was served of it.
+    cold_asked: u64,
+    cold_served: u64,
+}
+
+fn settings(proxies: u32) -> Settings {
+    let class = Class { late_worth: 0.5, ..Class::safe(Span(1120 * MS), Span(2800 * MS)) };
+    let mut s = Settings::basic(vec![class]);
+    s.balancers = proxies;
+    // Sweeps are rare, so that a bank of hundreds is played within seconds.
+    s.tick = Span(100 * MS);
+    s.rules.cold_from = 0.12;
+    s.rules.cold = Span(23 * SECOND);
+    s.rules.fall_multiple = 4.0;
+    s.rules.tip_after = Span(2 * SECOND);
+    s
+}
+
+impl Bank {
+    fn new(day: Day) -> Self {
+        let mut rng = Rand64::new(u128::from(day.seed));
+        let settings = settings(day.proxies);
+        // Two kinds of machine under one name, as unlike as those of one site are.
+        let upstream = |i: usize| Upstream {
+            speed: if i.is_multiple_of(3) { 0.97 } else { 1.5 },
+            started: None,
+            up: true,
+            life: 0,
+            held: VecDeque::new(),
+            sent: Vec::new(),
+        };
+        let fleet: Vec<Upstream> = (0..day.upstreams).map(upstream).collect();
+        let proxy = |position| {
+            let s = Settings { position, ..settings.clone() };
+            Balancer::new(s, rng.rand_u64(), Time(0)).expect("sound settings")
+        };
+        let proxies: Vec<Balancer> = (0..day.proxies).map(proxy).collect();
+        let lives = vec![0; proxies.len()];
+        let mut bank = Self {
+            day,
+            settings,
+            rng,
+            now: 0,
+            due: BinaryHeap::new(),
+            order: 0,
+            proxies,
+            lives,
+            tries: BTreeMap::new(),
+            last: 0,
+            fleet,
+            served: 0,
+            cold_asked: 0,
+            cold_served: 0,
+        };
+        for p in 0..bank.proxies.len() {
+            bank.whole_list(p);
+            let wait = bank.until_next(p);
+            bank.later(wait, Due::Client(p));
+        }
+        // Spread over the ring and both kinds.
+        let cold: Vec<usize> = (0..day.cold).map(|n| n * day.upstreams / day.cold).collect();
+        for (n, &i) in cold.iter().enumerate() {
+            let after = day.one_by_one * n as i64 / day.cold as i64;
+            bank.at(GONE + after, Due::Go(i));
+            bank.at(BACK + after, Due::Back(i));
+        }
+        if let Some(after) = day.alone {
+            let others = (0..day.upstreams).filter(|i| !cold.contains(i));
+            others.for_each(|i| bank.at(BACK + after, Due::Go(i)));
+        }
+        if day.restarts {
+            for p in 0..bank.proxies.len() {
+                bank.at(BACK + SECOND + (p % 10) as i64 * SECOND, Due::Restart(p));
+            }
+        }
+        if let Some(after) = day.greed {
+            for p in 0..bank.proxies.len() {
+                for n in 0..160 {
+                    bank.at(BACK + after + n * 25 * MS, Due::Crowd(p));
+                }
+            }
+        }
+        if let Some(after) = day.at_once {
+            for p in 0..bank.proxies.len() {
+                (0..3).for_each(|_| bank.at(BACK + after, Due::Crowd(p)));
+            }
+        }
+        bank
+    }
+
+    fn at(&mut self, at: i64, due: Due) {
+        self.order += 1;
+        self.due.push(Reverse((at, self.order, due)));
+    }
+
+    fn later(&mut self, wait: i64, due: Due) {
+        self.at(self.now + wait, due);
+    }
+
+    /// Requests that an upstream serves in a microsecond once warm.
+    fn rate(&self, upstream: usize) -> f64 {
+        self.fleet[upstream].speed / WORK
+    }
+
+    /// What the settings allow of its capacity so long after a start, at least.
+    fn share(&self, age: i64) -> f64 {
+        let rules = &self.settings.rules;
+        let grown = (age as f64 / rules.cold.f()).clamp(0.0, 1.0);
+        rules.cold_from + (1.0 - rules.cold_from) * grown
+    }
+
+    fn until_next(&mut self, proxy: usize) -> i64 {
+        let all: f64 = (0..self.fleet.len()).map(|i| self.rate(i)).sum();
+        let parts = self.day.favoured + (self.proxies.len() - 1) as f64;
+        let part = if proxy == 0 { self.day.favoured } else { 1.0 } / parts;
+        (-(1.0 - self.rng.rand_float()).ln() / (all * self.day.load * part)) as i64
+    }
+
+    fn member(&self, upstream: usize, up: bool) -> Member {
+        let id = ServerId(upstream as u32);
+        let identity = (upstream as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let status = if up { Status::Live } else { Status::Gone };
+        let started = self.fleet[upstream].started.map(Time);
+        Member { identity, status, started, ..Member::live(id) }
+    }
+
+    fn whole_list(&mut self, proxy: usize) {
+        let up = (0..self.fleet.len()).filter(|i| self.fleet[*i].up);
+        let list: Vec<Member> = up.map(|i| self.member(i, true)).collect();
+        self.tell(proxy, Event::Members { kind: ListKind::Whole, list: &list });
+    }
+
+    fn tell(&mut self, proxy: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.proxies[proxy].handle(Time(self.now), event, &mut actions);
+        let life = self.lives[proxy];
+        for action in actions {
+            match action {
+                Action::Send { request, server, .. } => {
+                    let attempt = *self.tries.entry(request.0).and_modify(|n| *n += 1).or_default();
+                    let to = server.0 as usize;
+                    if self.cold_age(to).is_some() {
+                        self.fleet[to].sent.push(self.now);
+                    }
+                    let due = Due::Arrive(to, proxy, life, request.0, attempt, self.now);
+                    self.later(WAY, due);
+                }
+                Action::Arm { token, at } => self.at(at.0, Due::Timer(proxy, life, token)),
+                _ => {}
+            }
+        }
+    }
+
+    /// How long ago it started, while it is cold.
+    fn cold_age(&self, upstream: usize) -> Option<i64> {
+        let age = self.now - self.fleet[upstream].started?;
+        (age < self.settings.rules.cold.0).then_some(age)
+    }
+
+    fn work(&mut self, upstream: usize) {
+        let share = self.cold_age(upstream).map_or(1.0, |age| self.share(age));
+        let takes = (1.0 / (self.rate(upstream) * share)) as i64;
+        let life = self.fleet[upstream].life;
+        self.later(takes, Due::Work(upstream, life));
+    }
+
+    fn is_greedy(&self) -> bool {
+        self.day.greed.is_some_and(|after| self.now >= BACK + after)
+    }
+
+    fn answer(&mut self, job: Job, upstream: usize, ok: bool) {
+        let (proxy, life, request, attempt, sent) = job;
+        self.later(WAY, Due::Answer(proxy, life, request, attempt, upstream, ok, sent));
+    }
+
+    fn until(&mut self, end: i64) {
+        while let Some(Reverse((at, _, due))) = self.due.pop() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            self.step(due);
+        }
+    }
+
+    fn step(&mut self, due: Due) {
+        match due {
+            Due::Timer(p, life, token) if life == self.lives[p] => {
+                self.tell(p, Event::Timer(token));
+            }
+            Due::Client(p) | Due::Crowd(p) => {
+                self.last += 1;
+                let request = Request::new(RequestId(self.last), 0, Time(self.now + 2800 * MS));
+                self.cold_asked += u64::from(self.now >= BACK);
+                self.tell(p, Event::Request(request));
+                if due == Due::Client(p) {
+                    let wait = self.until_next(p);
+                    self.later(wait, Due::Client(p));
+                }
+            }
+            Due::Arrive(to, p, life, request, attempt, sent) => {
+                let job = (p, life, request, attempt, sent);
+                if self.is_greedy() && self.fleet[to].up && self.cold_age(to).is_some() {
+                    let took = (1.0 / self.rate(to)) as i64;
+                    self.cold_served += 1;
+                    let due = Due::Answer(p, life, request, attempt, to, true, sent);
+                    return self.later(took, due);
+                }
+                let held = self.fleet[to].held.len();
+                if !self.fleet[to].up || held >= HOLDS {
+                    return self.answer(job, to, false);
+                }
+                self.fleet[to].held.push_back(job);
+                if held == 0 {
+                    self.work(to);
+                }
+            }
+            Due::Work(of, life) if life == self.fleet[of].life => {
+                if let Some(job) = self.fleet[of].held.pop_front() {
+                    self.served += 1;
+                    self.cold_served += u64::from(self.now >= BACK);
+                    self.answer(job, of, true);
+                }
+                if !self.fleet[of].held.is_empty() {
+                    self.work(of);
+                }
+            }
+            Due::Answer(p, life, request, attempt, of, ok, sent) if life == self.lives[p] => {
+                let outcome = if ok { Outcome::Ok } else { Outcome::Full };
+                let (id, of, took) = (RequestId(request), ServerId(of as u32), self.now - sent);
+                let answer = Answer::new(id, attempt, of, outcome, Span(took), ok);
+                self.tell(p, Event::Answered(answer));
+            }
+            Due::Go(i) | Due::Back(i) => {
+                let up = due == Due::Back(i);
+                if up {
+                    self.fleet[i].started = Some(self.now);
+                }
+                self.fleet[i].up = up;
+                self.fleet[i].life += 1;
+                let held = std::mem::take(&mut self.fleet[i].held);
+                held.into_iter().for_each(|job| self.answer(job, i, false));
+                for p in 0..self.proxies.len() {
+                    let wait = self.rng.rand_range(0..self.day.spread as u64 + 1) as i64;
+                    self.later(wait, Due::Word(p, i, up));
+                }
+            }
+            Due::Word(p, i, up) if up == self.fleet[i].up => {
+                let list = [self.member(i, up)];
+                self.tell(p, Event::Members { kind: ListKind::Update, list: &list });
+            }
+            Due::Restart(p) => {
+                self.lives[p] += 1;
+                let s = Settings { position: p as u32, ..self.settings.clone() };
+                let seed = self.rng.rand_u64();
+                self.proxies[p] = Balancer::new(s, seed, Time(self.now)).expect("sound settings");
+                self.whole_list(p);
+            }
+            _ => {}
+        }
+    }
+
+    /// The window that came nearest to its bound, or went farthest over it: what was sent, N, and how much of the
+    /// bound that is.
+    fn worst(&self) -> (usize, f64, f64) {
+        let rules = &self.settings.rules;
+        let mut worst = (0, 0.0, 0.0);
+        for (i, upstream) in self.fleet.iter().enumerate() {
+            let Some(started) = upstream.started else { continue };
+            let mut from = 0;
+            for (upto, at) in upstream.sent.iter().enumerate() {
+                while upstream.sent[from] + rules.tip_after.0 < *at {
+                    from += 1;
+                }
+                let able = self.rate(i) * self.share(at - started) * rules.tip_after.f();
+                let n = rules.fall_multiple * able;
+                let part = (upto + 1 - from) as f64 / (n + 2.0 * n.sqrt() + 2.0);
+                if part > worst.2 {
+                    worst = (upto + 1 - from, n, part);
+                }
+            }
+        }
+        worst
+    }
+}
+
+fn play(day: Day) -> (usize, f64, f64) {
+    let mut bank = Bank::new(day);
+    bank.until(BACK + day.one_by_one + bank.settings.rules.cold.0);
+    let (sent, n, part) = bank.worst();
+    let service = bank.cold_served as f64 / bank.cold_asked.max(1) as f64;
+    println!("{day:?}: {sent} sent, N {n:.1}, {part:.2} of the bound, {service:.3} served");
+    (sent, n, part)
+}
+
+/// Days of a bank of so many, with one in ten, half and all upstreams cold: calm, with a crowd, restarts, a favoured
+/// proxy; and such on which all demand falls upon the cold ones late, or they go and come one after another.
+fn days(proxies: u32, upstreams: usize) -> Vec<Day> {
+    let mut days = Vec::new();
+    for cold in [upstreams / 10, upstreams / 2, upstreams] {
+        let day = Day { proxies, upstreams, cold, ..DAY };
+        days.push(day);
+        let favoured = (f64::from(proxies) / 4.0).clamp(1.0, 5.0);
+        days.push(Day { restarts: true, favoured, at_once: Some(12 * SECOND), ..day });
+        for late in [6, 20] {
+            let (alone, greed) = (Some(late * SECOND), Some((late + 1) * SECOND));
+            days.push(Day { alone: alone.filter(|_| cold < upstreams), greed, ..day });
+        }
+        let one_by_one = 7 * SECOND;
+        days.push(Day { one_by_one, load: 1.2, ..day });
+        days.push(Day { one_by_one, greed: Some(one_by_one + SECOND), ..day });
+        days.push(Day { one_by_one, greed: Some(-2 * SECOND + one_by_one), restarts: true, ..day });
+    }
+    days
+}
+
+fn holds(days: Vec<Day>) {
+    let proxies = days.first().map_or(0, |day| day.proxies);
+    let worst = days.into_iter().map(|day| (play(day), day));
+    let worst = worst.max_by(|a, b| a.0.2.total_cmp(&b.0.2));
+    let ((sent, n, part), day) = worst.expect("some days");
+    println!("WORST of {proxies} proxies: {sent} sent, N {n:.1}, {part:.2} of the bound");
+    assert!(part <= 1.0, "{sent} sent, {:.1} borne: {day:?}", n + 2.0 * n.sqrt() + 2.0);
+}
+
+#[test]
+fn one_proxy_pushes_no_cold_upstream_over() {
+    holds(days(1, 20));
+}
+
+#[test]
+fn a_bank_of_six_pushes_no_cold_upstream_over() {
+    holds(days(6, 48));
+}
+
+#[test]
+fn a_bank_of_twenty_pushes_no_cold_upstream_over() {
+    holds(days(20, 48));
+}
+
+#[test]
+fn a_bank_of_thirty_pushes_no_cold_upstream_over() {
+    holds(days(30, 60));
+}
--- a/crates/policy/tests/scanning/policy.rs
+++ b/crates/policy/tests/scanning/policy.rs
@@ -12,6 +12,7 @@
 //! 7. What was decided anew since: means rest on their answers from the first on, unknown lanes are tried at once
 //!    and hoped for in admission, and nobody is refused while an upstream stands idle.
 //! 8. Warm upstreams of a kind that has served nothing yet count in the weight of all.
+//! 9. What warm upstreams served is spread over those that were warm then, not over those that are left.
 //!
 //! The ordinary path is Ould Deye et al.'s: a first-come queue, at most `K_i = 2*TP_i/TS_i + 1` requests out
 //! per upstream, and refusal once queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`.
@@ -329,6 +330,7 @@
     /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit of weight
     /// that was seen lately, by kind and over all.
     warm_served: Vec<f64>,
+    warm_past: Vec<f64>,
     warm_rate: Vec<f64>,
     any_rate: f64,
     counted: Time,
@@ -1090,16 +1092,22 @@
         let window = self.settings.rules.tip_after.f().max(1.0);
         let cold = self.settings.rules.cold.f().max(1.0);
         let f = &mut self.fleet;
-        f.warm_served.iter_mut().for_each(|w| *w *= (-elapsed / window).exp());
+        let decay = (-elapsed / window).exp();
+        f.warm_served.iter_mut().for_each(|w| *w *= decay);
         f.warm_rate.resize(weight.len(), 0.0);
+        f.warm_past.resize(weight.len(), 0.0);
+        for (past, weight) in f.warm_past.iter_mut().zip(weight) {
+            *past = (*past * decay).max(weight);
+        }
         // Failure: when the warm ones slowed, the young, who did not, were held back with them.
         let keep = |peak: &mut f64, served: f64, weight: f64| {
             let seen = if weight > 0.0 && served >= 1.0 { served / window / weight } else { 0.0 };
             *peak = (*peak * (-elapsed / cold).exp()).max(seen);
         };
-        keep(&mut f.any_rate, f.warm_served.iter().sum(), weight.iter().sum());
-        for ((peak, served), weight) in f.warm_rate.iter_mut().zip(&f.warm_served).zip(weight) {
-            keep(peak, *served, weight);
+        keep(&mut f.any_rate, f.warm_served.iter().sum(), f.warm_past.iter().sum());
+        let served = f.warm_served.iter().zip(&f.warm_past);
+        for (peak, (served, weight)) in f.warm_rate.iter_mut().zip(served) {
+            keep(peak, *served, *weight);
         }
     }
 }
