Keep back a part of a short deadline, not 15 ms: a request with 15 ms was never sent on

The engine took 15 ms off every deadline and answered itself 5 ms before it, fitted to deadlines of seconds. A site gives its own: of 75 ms a fifth was lost, and a request with 15 ms left was answered 503 and never sent, beside an idle upstream (orders: kept::a_short_deadline_is_served_within, 503 in place of 200). At fault: HEADROOM and BACKSTOP in engine.rs as constants whatever the deadline. Now it is 15 ms or an eighth of what the client waits, whichever is less, and a third of that for the engine's own word; from 120 ms on nothing changes.

The test asks with 15, 20 and 75 ms: 200 within the deadline at an upstream that serves, 504 within it at one that hangs.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -37,8 +37,10 @@
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
 /// arrives: the way to the client, and a busy moment here.
 const HEADROOM: Duration = Duration::from_millis(15);
-/// At this much less the engine answers itself, should the module still owe one.
-const BACKSTOP: Duration = Duration::from_millis(5);
+/// But no more than this part of a short deadline. Failure: a request with 15 ms was never sent anywhere.
+const HEADROOM_OF_WAIT: u32 = 8;
+/// With this part of that left the engine answers itself, should the module still owe an answer.
+const BACKSTOP_OF_HEADROOM: u32 = 3;
 /// Sends to an upstream that drains end this much before the grace does.
 const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 /// How often the subset is looked at, where there is one.
@@ -256,6 +258,8 @@
     until: Instant,
     /// How long its client waits, from its last byte on.
     waits: Duration,
+    /// How much sooner the module's time ends.
+    headroom: Duration,
     class: usize,
     attempts: Vec<Try>,
     last: Option<Outcome>,
@@ -273,6 +277,11 @@
         self.attempts.iter().filter(|a| a.task.is_some()).count()
     }
 
+    /// When the engine answers itself.
+    fn backstop(&self) -> Instant {
+        self.until + (self.headroom - self.headroom / BACKSTOP_OF_HEADROOM)
+    }
+
     /// Its body is on its way: its client's time has not begun.
     fn flows(&self) -> bool {
         self.forward.flow().is_some_and(|f| f.is_spent() && !f.is_whole())
@@ -510,20 +519,23 @@
         forward: Forward,
         reply: oneshot::Sender<Reply>,
     ) {
-        let until = arrival.until - HEADROOM;
+        let waits = arrival.until.saturating_duration_since(Instant::now());
+        let headroom = HEADROOM.min(waits / HEADROOM_OF_WAIT);
+        let until = arrival.until - headroom;
         let flows = forward.flow().is_some();
         let held = Held {
             forward: Rc::new(forward),
             reply: Some(reply),
             live: Rc::new(Cell::new(true)),
             until,
-            waits: arrival.until.saturating_duration_since(Instant::now()),
+            waits,
+            headroom,
             class: arrival.class,
             attempts: Vec::new(),
             last: None,
         };
+        self.timers.push(Reverse((held.backstop(), Due::Deadline(id))));
         self.requests.insert(id, held);
-        self.timers.push(Reverse((arrival.until - BACKSTOP, Due::Deadline(id))));
         let request = d::Request {
             class: arrival.class,
             tenant: arrival.tenant,
@@ -540,15 +552,15 @@
     fn whole(&mut self, id: RequestId) {
         let Some(held) = self.requests.get_mut(&id).filter(|h| h.reply.is_some()) else { return };
         let until = Instant::now() + held.waits;
-        held.until = until - HEADROOM;
+        held.until = until - held.headroom;
         let drop_dead = self.clock.at(held.until);
-        self.timers.push(Reverse((until - BACKSTOP, Due::Deadline(id))));
+        self.timers.push(Reverse((held.backstop(), Due::Deadline(id))));
         self.tell(Event::Whole { request: id, drop_dead });
     }
 
     /// Guards against a request that the module still owes its answer when the client is about to give up.
     fn overdue(&mut self, id: RequestId) {
-        let early = |h: &Held| h.flows() || Instant::now() < h.until + (HEADROOM - BACKSTOP);
+        let early = |h: &Held| h.flows() || Instant::now() < h.backstop();
         if self.requests.get(&id).is_some_and(early) {
             return; // Its body moved that, or will once it is whole.
         }
@@ -835,7 +847,7 @@
         let mut tried = Try { server, sent: now, task: None };
         let over = held.reply.is_none() || attempt >= self.max_attempts || now >= until;
         let over = over || held.forward.is_spent();
-        let limit = Limit { until, answer: held.waits.saturating_sub(HEADROOM) };
+        let limit = Limit { until, answer: held.waits - held.headroom };
         let (Some(target), false) = (target, over || twice) else {
             held.attempts.push(tried);
             self.later.push_back((id, attempt, Ended::bare(Outcome::Moot)));
--- a/crates/gateway/tests/orders/main.rs
+++ b/crates/gateway/tests/orders/main.rs
@@ -6,6 +6,7 @@
 
 mod draw;
 mod judge;
+mod kept;
 mod peers;
 
 use std::cell::RefCell;
