See a client's close behind unread bytes, and once more before a send

What was seen: a client that closed with so much as half a line sent behind its request was still served: the test `a_close_is_seen_behind_whatever_lies_unread` got "left" at the upstream after the close, behind half a line, a request and more. hyper's `mid_message_detect_eof` looks for an end only while its read buffer is empty, so a pipelined byte hides FIN and reset for as long as the request is open. And `a_connection_that_comes_up_in_the_moment_of_a_close_is_not_used`: where an attempt's connection comes up in the turn of the loop in which its client leaves, the poller tells of it first, and the request went out whole.

At fault: `converse` (clients.rs) leaves looking for the end to hyper; `send` (engine.rs) asks only a flag that is cleared when the engine comes to the note of the leaving.

Change: what comes behind a request is read ahead, 16 KiB kept for the next one, up to 4 MiB dropped; after a drop the connection closes behind the present answer. The front cancels a request itself as its client leaves, and right before an attempt goes out the client's socket is looked at: what the poller told (also over unread bytes), else a peek.

Ruled out: a close while the engine's queue is long, or while a body is taken, is no other case: the first is looked at before the send, the second ends as an unfinished body.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -5,6 +5,7 @@
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,7 +34,7 @@
 use crate::flow::Flow;
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::relay::AnswerBody;
-use crate::stream::{RawHead, Shared, Tapped};
+use crate::stream::{Cancellation, LookAhead, RawHead, Shared, Tapped};
 use crate::tasks::Word;
 use crate::upstreams::{Forward, Onward};
 
@@ -240,9 +241,10 @@
     async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat) {
         let known = seat.connection();
         let raw = RawHead::new(&self.dozes);
-        let io = io.keeping(&raw);
+        let ahead = LookAhead::default();
+        let io = io.keeping(&raw, &ahead);
         let closing = self.closing.borrow().clone();
-        let service = service_fn(|request| self.respond(request, &seat, &raw));
+        let service = service_fn(|request| self.respond(request, &seat, &raw, &ahead, &stream));
         let ended = {
             let connection = http1::Builder::new()
                 .header_read_timeout(None) // Each connection's own limits hold.
@@ -252,11 +254,15 @@
             tokio::pin!(connection);
             let mut stopping = false;
             loop {
+                let gone = poll_fn(|cx| {
+                    if known.is_asked() { ahead.poll_end(&stream, cx) } else { Poll::Pending }
+                });
                 // The connection first: its limits are judged by what has passed on it.
                 tokio::select! {
                     biased;
                     _ = &mut connection => break true,
                     () = known.outstays() => break false,
+                    () = gone => break false,
                     () = closing.given(), if !stopping => {
                         stopping = true;
                         // What has come and is not read yet was asked before the close.
@@ -285,20 +291,24 @@
         request: Request<Incoming>,
         seat: &Seat,
         raw: &RawHead,
+        ahead: &LookAhead,
+        stream: &Shared,
     ) -> Result<Answer, Infallible> {
         raw.stop();
+        ahead.begin();
         seat.connection().asked();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && !self.leaving();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
-            self.api(request, raw).await
+            self.api(request, raw, ahead, stream).await
         } else {
             bare(StatusCode::NOT_FOUND)
         };
         // What follows on the connection of a client whose request makes no sense makes none either.
-        if self.leaving() || answer.status().is_client_error() {
+        let makes_none = answer.status().is_client_error() || ahead.overflowed();
+        if self.leaving() || makes_none {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         // A request that follows begins behind this one's last byte, which has come: else the connection closes.
@@ -310,7 +320,13 @@
         Ok(answer)
     }
 
-    async fn api(&self, request: Request<Incoming>, raw: &RawHead) -> Answer {
+    async fn api(
+        &self,
+        request: Request<Incoming>,
+        raw: &RawHead,
+        ahead: &LookAhead,
+        stream: &Shared,
+    ) -> Answer {
         let (head, body) = request.into_parts();
         if let Err(what) = framed(&head, raw) {
             return malformed(what);
@@ -318,6 +334,7 @@
         let pace = Pace { longest: BODY_LIMIT, grace: BODY_GRACE, a_byte: BODY_A_BYTE };
         let (body, length) = match take(body, pace, BODY_HELD, &self.bodies).await {
             Ok(Taken::Whole(body)) => {
+                ahead.whole();
                 let length = Some(body.len() as u64);
                 (Onward::Whole(body), length)
             }
@@ -334,7 +351,7 @@
         let Some(_open) = head.headers.get("x-request-id").and_then(|id| self.open_id(id)) else {
             return bare(StatusCode::CONFLICT);
         };
-        let arrival = match self.arrival(&head, length == Some(0), arrived) {
+        let arrival = match self.arrival(&head, length == Some(0), arrived, stream) {
             Ok(arrival) => arrival,
             Err(what) => return malformed(what),
         };
@@ -384,6 +401,7 @@
         head: &Parts,
         empty: bool,
         arrived: Instant,
+        stream: &Shared,
     ) -> Result<Arrival, &'static str> {
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         let class = text("x-class").ok_or("X-Class")?;
@@ -416,6 +434,7 @@
             until: arrived + deadline,
             cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
             resent: text("x-retry").is_some_and(|v| v == "1"),
+            cancellation: Cancellation::new(stream),
         })
     }
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -58,6 +58,11 @@
         self.state.set(State::Closing { since: Instant::now() });
     }
 
+    /// Whether a request is open, and its answer has not begun.
+    pub fn is_asked(&self) -> bool {
+        matches!(self.state.get(), State::Asked)
+    }
+
     /// Whether a request was asked on it that is open, or may be followed by another.
     fn in_use(&self) -> bool {
         matches!(self.state.get(), State::Asked | State::Answering { .. } | State::Kept { .. })
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -29,6 +29,7 @@
 use crate::membership::{Membership, Part};
 use crate::relay::AnswerBody;
 use crate::relisted::Relisted;
+use crate::stream::Cancellation;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
 use crate::telling::Telling;
@@ -116,6 +117,7 @@
     pub until: Instant,
     pub cost_guess: Option<Span>,
     pub resent: bool,
+    pub cancellation: Rc<Cancellation>,
 }
 
 /// The one final answer.
@@ -224,8 +226,9 @@
             let notes = self.notes.clone();
             flow.when_whole(move || drop(notes.send(Note::Whole(id))));
         }
+        let cancellation = arrival.cancellation.clone();
         let _ = self.notes.send(Note::Arrived { id, arrival, forward, reply });
-        let mut leaving = Leaving { id, notes: Some(&self.notes) };
+        let mut leaving = Leaving { id, cancellation, notes: Some(&self.notes) };
         let answer = answer.await;
         leaving.notes = None;
         answer.unwrap_or(Reply::Failed { late: false })
@@ -235,12 +238,15 @@
 /// Tells of a client that went away before its answer.
 struct Leaving<'a> {
     id: RequestId,
+    cancellation: Rc<Cancellation>,
     notes: Option<&'a mpsc::UnboundedSender<Note>>,
 }
 
 impl Drop for Leaving<'_> {
     fn drop(&mut self) {
         if let Some(notes) = self.notes {
+            // At once: the note may wait behind many.
+            self.cancellation.cancel();
             let _ = notes.send(Note::Left(self.id));
         }
     }
@@ -252,7 +258,7 @@
     /// Taken by the final answer.
     reply: Option<oneshot::Sender<Reply>>,
     /// Read by attempts right before they go on the wire.
-    live: Rc<Cell<bool>>,
+    cancellation: Rc<Cancellation>,
     until: Instant,
     /// How long its client waits, from its last byte on.
     waits: Duration,
@@ -463,7 +469,6 @@
             Note::Left(id) => {
                 let Some(held) = self.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
-                    held.live.set(false);
                     self.tell(Event::Left(id));
                 }
                 self.forget(id);
@@ -515,7 +520,7 @@
         let held = Held {
             forward: Rc::new(forward),
             reply: Some(reply),
-            live: Rc::new(Cell::new(true)),
+            cancellation: arrival.cancellation,
             until,
             waits: arrival.until.saturating_duration_since(Instant::now()),
             class: arrival.class,
@@ -563,7 +568,7 @@
     fn answer(&mut self, id: RequestId, reply: Reply) -> bool {
         let Some(held) = self.requests.get_mut(&id) else { return false };
         let Some(sender) = held.reply.take() else { return false };
-        held.live.set(false);
+        held.cancellation.cancel();
         let _ = sender.send(reply);
         true
     }
@@ -844,9 +849,10 @@
         let permits = self.permits(server, id);
         let Some(held) = self.requests.get_mut(&id) else { return };
         let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
-        let (forward, live) = (held.forward.clone(), held.live.clone());
+        let (forward, cancellation) = (held.forward.clone(), held.cancellation.clone());
         tried.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let goes = || live.get() && permits.as_ref().is_none_or(|permits| permits());
+            let goes =
+                || !cancellation.is_cancelled() && permits.as_ref().is_none_or(|permits| permits());
             let ended = pool.attempt(server, &target, &forward, limit, goes).await;
             let _ = notes.send(Note::Ended { id, attempt, ended });
         })));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,17 +3,25 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, IoSlice, Result};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hollowpaddle_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::dozes::Dozes;
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
 
+/// So many bytes are read ahead at once.
+const CHUNK: usize = 4 << 10;
+/// Of what comes behind a request so much is dropped, to see the client's end behind it. Failure: without a bound a
+/// client could keep this process reading for as long as its request is open.
+const DROPPED: usize = 4 << 20;
+
 /// Bytes that passed on a stream.
 #[derive(Clone, Default)]
 pub struct Traffic(Rc<Passed>);
@@ -116,6 +124,73 @@
     }
 }
 
+/// What a client sends while its request is open and hyper reads nothing. Failure: a byte behind a request hid its
+/// client's close, since hyper looks for that only where it holds nothing unread; the request was sent on later.
+#[derive(Clone, Default)]
+pub struct LookAhead(Rc<Ahead>);
+
+#[derive(Default)]
+struct Ahead {
+    /// Up to a head's size of it is kept for hyper.
+    bytes: RefCell<BytesMut>,
+    /// No byte of the request is to come any more.
+    whole: Cell<bool>,
+    /// So many bytes more were dropped.
+    dropped: Cell<usize>,
+}
+
+impl LookAhead {
+    /// A request begins; what comes belongs to it.
+    pub fn begin(&self) {
+        self.0.whole.set(false);
+    }
+
+    /// The request is here. A client asks one thing at a time: of what comes behind, a head's size is kept for the next
+    /// request, and what is more is dropped.
+    pub fn whole(&self) {
+        self.0.whole.set(true);
+    }
+
+    /// Whether something was dropped: nothing that follows on the connection makes sense.
+    pub fn overflowed(&self) -> bool {
+        self.0.dropped.get() > 0
+    }
+
+    /// Ends once the client has closed or reset its connection.
+    pub fn poll_end(&self, stream: &Shared, cx: &mut Context<'_>) -> Poll<()> {
+        let mut kept = self.0.bytes.borrow_mut();
+        loop {
+            let room = HEAD_LIMIT - kept.len();
+            // What lies behind a body is left to flow control, and so is what nobody would wait for.
+            if room == 0 && (!self.0.whole.get() || self.0.dropped.get() >= DROPPED) {
+                return Poll::Pending;
+            }
+            let mut chunk = [MaybeUninit::uninit(); CHUNK];
+            let most = if room == 0 { CHUNK } else { room.min(CHUNK) };
+            let mut buf = ReadBuf::uninit(&mut chunk[..most]);
+            match ready!(Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {}
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+            if room == 0 {
+                self.0.dropped.set(self.0.dropped.get() + buf.filled().len());
+                // A flood takes turns with everybody else.
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            kept.extend_from_slice(buf.filled());
+        }
+    }
+
+    /// Hands over what was read ahead; whether there was anything.
+    fn take(&self, buf: &mut ReadBuf<'_>) -> bool {
+        let mut kept = self.0.bytes.borrow_mut();
+        let bytes = kept.len().min(buf.remaining());
+        buf.put_slice(&kept.split_to(bytes));
+        bytes > 0
+    }
+}
+
 /// The stream itself, for its owner.
 pub type Shared = Rc<RefCell<Box<dyn Stream>>>;
 
@@ -124,17 +199,22 @@
     inner: Shared,
     traffic: Traffic,
     head: Option<RawHead>,
+    ahead: Option<LookAhead>,
 }
 
 impl Tapped {
     pub fn new(stream: Box<dyn Stream>) -> (Self, Shared, Traffic) {
         let (inner, traffic) = (Rc::new(RefCell::new(stream)), Traffic::default());
-        (Self { inner: inner.clone(), traffic: traffic.clone(), head: None }, inner, traffic)
+        (
+            Self { inner: inner.clone(), traffic: traffic.clone(), head: None, ahead: None },
+            inner,
+            traffic,
+        )
     }
 
-    /// Keeps each head as it comes, too.
-    pub fn keeping(self, head: &RawHead) -> Self {
-        Self { head: Some(head.clone()), ..self }
+    /// Keeps each head as it comes, too, and begins with what was read ahead.
+    pub fn keeping(self, head: &RawHead, ahead: &LookAhead) -> Self {
+        Self { head: Some(head.clone()), ahead: Some(ahead.clone()), ..self }
     }
 
     /// Guards against bytes that came after the last look at the connection: what is there before a request
@@ -155,6 +235,30 @@
     }
 }
 
+/// Whether a request is still to be sent on: not once it is answered, nor once its client has gone.
+pub struct Cancellation {
+    cancelled: Cell<bool>,
+    client: Weak<RefCell<Box<dyn Stream>>>,
+}
+
+impl Cancellation {
+    /// For a request that came on this stream.
+    pub fn new(client: &Shared) -> Rc<Self> {
+        Rc::new(Self { cancelled: Cell::new(false), client: Rc::downgrade(client) })
+    }
+
+    pub fn cancel(&self) {
+        self.cancelled.set(true);
+    }
+
+    /// Looks at the client's connection too. Failure: an attempt's connection came up in the turn in which its client
+    /// left, and was told of first; and hyper, which holds a pipelined request, does not look for an end behind it.
+    pub fn is_cancelled(&self) -> bool {
+        let stays = |client: Shared| !client.borrow().has_ended();
+        self.cancelled.get() || !self.client.upgrade().is_some_and(stays)
+    }
+}
+
 /// Whether a stream that hyper may have let go is open, and nothing unread has come on it.
 pub fn still_quiet(stream: &Weak<RefCell<Box<dyn Stream>>>) -> bool {
     stream.upgrade().is_some_and(|s| s.borrow().is_quiet())
@@ -167,7 +271,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf))?;
+        if !self.ahead.as_ref().is_some_and(|ahead| ahead.take(buf)) {
+            ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf))?;
+        }
         let passed = &self.traffic.0.read;
         passed.set(passed.get() + (buf.filled().len() - before) as u64);
         if let Some(head) = self.head.as_ref().filter(|_| buf.filled().len() > before) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,6 +29,10 @@
     /// Whether it is open and nothing has come that is not read yet, not even its end.
     fn is_quiet(&self) -> bool;
 
+    /// Whether the peer has closed or reset it, or ended its sending. Where the system tells, also while bytes that came
+    /// before that lie unread.
+    fn has_ended(&self) -> bool;
+
     /// How long the last bytes that came have been there, read or not, as far as that can be told: for a program that
     /// may not have run when they came.
     fn since_last_bytes(&self) -> Option<Duration>;
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -130,6 +130,18 @@
         peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
+    fn has_ended(&self) -> bool {
+        // Whether the poller has told, which it does whatever lies unread. No data is asked for, so this costs no call.
+        #[cfg(target_os = "linux")]
+        if self.0.try_io(tokio::io::Interest::PRIORITY, || Ok(())).is_ok() {
+            return true;
+        }
+        match SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(bytes) => bytes == 0,
+            Err(cause) => cause.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     fn since_last_bytes(&self) -> Option<Duration> {
         info::last_data_recv(&self.0)
     }
@@ -271,10 +283,42 @@
             here.read_exact(&mut byte).await.expect("it comes");
             assert!(here.since_last_bytes().expect("told") < waits);
         }
+        assert!(!here.has_ended());
         there.reset();
         let end = here.read(&mut byte).await.expect_err("no orderly end");
         assert_eq!(end.kind(), ErrorKind::ConnectionReset);
-        assert!(!here.is_quiet());
+        assert!(!here.is_quiet() && here.has_ended());
+    }
+
+    #[tokio::test]
+    async fn an_end_is_seen_behind_what_lies_unread() {
+        let mut listener = Tcp.listen(any()).expect("a port");
+        for (reset, unread) in [(false, false), (false, true), (true, false), (true, true)] {
+            let mut here = Tcp.connect(listener.local_addr()).await.expect("it listens");
+            let (mut there, _) = accept(&mut *listener).await.expect("accepted");
+            assert!(!here.has_ended());
+            if unread {
+                there.write_all(b"unread").await.expect("written");
+                // Until the poller has told of the bytes.
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                assert!(!here.has_ended() && !here.is_quiet());
+            }
+            if reset {
+                there.reset()
+            } else {
+                drop(there)
+            }
+            let from = std::time::Instant::now();
+            while !here.has_ended() {
+                assert!(from.elapsed() < Duration::from_secs(20), "{reset} {unread}");
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            if unread {
+                let mut bytes = [0; 6];
+                let read = here.read_exact(&mut bytes).await;
+                assert!(reset || read.is_ok_and(|_| &bytes == b"unread"), "nothing was taken");
+            }
+        }
     }
 
     #[tokio::test]
--- a/crates/simnet/src/pipe.rs
+++ b/crates/simnet/src/pipe.rs
@@ -108,6 +108,10 @@
         self.incoming.borrow().due().is_none_or(|at| at > Instant::now())
     }
 
+    fn has_ended(&self) -> bool {
+        self.incoming.borrow().end.is_some_and(|(at, _)| at <= Instant::now())
+    }
+
     fn since_last_bytes(&self) -> Option<Duration> {
         let (now, way) = (Instant::now(), self.incoming.borrow());
         let there = way.segments.iter().rev().map(|(at, _)| *at).find(|at| *at <= now);
--- a/crates/simnet/src/tests.rs
+++ b/crates/simnet/src/tests.rs
@@ -59,6 +59,9 @@
         }
         there.write_all(b"last").await.expect("taken");
         drop(there);
+        assert!(!here.has_ended());
+        sleep(FAR).await;
+        assert!(here.has_ended() && !here.is_quiet(), "behind what is unread");
         let mut read = [0; 8];
         assert_eq!(here.read(&mut read).await.expect("what was sent before"), 4);
         let end = here.read(&mut read).await;
