Accept the backlog before the listener closes, and tell whom it gave

What was seen: with the process held up (SIGSTOP) until its half second of accepting was over, 300 clients in the backlog: those beyond the first turn (client 128; in another run already client 0) were reset with their requests, by `what_waits_in_the_backlog_at_the_end_is_answered`. And one that was accepted in that last turn was held 2.399 s, until its first head was overdue (`what_was_accepted_last_hears_that_the_node_ends`; in other runs it was reset): its task took `closing` when it first ran, after `close_idle` had put a new word there, which nobody gives.

At fault: `serve` dropped the listener after `LINGER` whatever waited in it; `converse` cloned `closing` in its task.

Change: the word is taken as the connection is accepted; after `LINGER` the front accepts until nothing comes for 5 ms, for 50 ms at most, unless a newer process accepts in its place.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -45,6 +45,10 @@
 const BODY_HELD: usize = 2 << 20;
 /// How long connections are still accepted after SIGTERM: the front needs a moment to hear of it.
 const LINGER: Duration = Duration::from_millis(500);
+/// Then what waits in the backlog is accepted, until none comes for so long, and for so long at most. Failure: what was
+/// left there was reset with the listener.
+const NEXT: Duration = Duration::from_millis(5);
+const BACKLOG: Duration = Duration::from_millis(50);
 /// The front asks every 0.1 s whether clients may come, and sends them for 0.2 s more.
 const NOTICE: Duration = Duration::from_millis(600);
 /// How long what has come on a connection is given to be read before the connection closes.
@@ -173,9 +177,11 @@
         stop: impl Future<Output = ()>,
         succeeded: impl Fn() -> bool,
     ) {
+        let opened = Cell::new(false);
         {
             let accepting = async {
                 opens.await;
+                opened.set(true);
                 self.accept(&mut *listener).await;
             };
             tokio::pin!(accepting);
@@ -193,6 +199,13 @@
                 let _ = timeout(LINGER, accepting).await;
             }
         }
+        if opened.get() && !succeeded() {
+            // Frees places, too.
+            self.close_idle();
+            let waiting =
+                async { while timeout(NEXT, self.accept_one(&mut *listener)).await.is_ok() {} };
+            let _ = timeout(BACKLOG, waiting).await;
+        }
         drop(listener);
         self.close_idle();
         let finished = async || {
@@ -214,36 +227,39 @@
 
     async fn accept(self: &Rc<Self>, listener: &mut dyn Listener) {
         loop {
-            // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
-            if self.connections.full() {
-                self.connections.evict();
-                sleep(Duration::from_millis(1)).await;
-                continue;
+            self.accept_one(listener).await;
+        }
+    }
+
+    async fn accept_one(self: &Rc<Self>, listener: &mut dyn Listener) {
+        // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
+        if self.connections.full() {
+            self.connections.evict();
+            return sleep(Duration::from_millis(1)).await;
+        }
+        match accept(listener).await {
+            Ok((stream, _)) => {
+                let (io, stream, traffic) = Tapped::new(stream);
+                // It has its place before the next one is accepted, and hears the next word to close. Failure: a task
+                // that ran only after that word waited for one that nobody gives.
+                let (seat, closing) =
+                    (self.connections.seat(traffic), self.closing.borrow().clone());
+                tokio::task::spawn_local(self.clone().converse(io, stream, seat, closing));
             }
-            match accept(listener).await {
-                Ok((stream, _)) => {
-                    let (io, stream, traffic) = Tapped::new(stream);
-                    // It has its place before the next one is accepted.
-                    let seat = self.connections.seat(traffic);
-                    let conversation = self.clone().converse(io, stream, seat);
-                    tokio::task::spawn_local(conversation);
-                }
-                // Guards against EMFILE and aborted connections: neither is a reason to end.
-                Err(cause) => {
-                    tracing::warn!(%cause, "accept");
-                    sleep(ACCEPT_BACKOFF).await;
-                }
+            // Guards against EMFILE and aborted connections: neither is a reason to end.
+            Err(cause) => {
+                tracing::warn!(%cause, "accept");
+                sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
 
-    /// All requests of one connection.
-    async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat) {
+    /// All requests of one connection, which is told to close by `closing`.
+    async fn converse(self: Rc<Self>, io: Tapped, stream: Shared, seat: Seat, closing: Rc<Word>) {
         let known = seat.connection();
         let raw = RawHead::new(&self.dozes);
         let ahead = LookAhead::default();
         let io = io.keeping(&raw, &ahead);
-        let closing = self.closing.borrow().clone();
         let service = service_fn(|request| self.respond(request, &seat, &raw, &ahead, &stream));
         let ended = {
             let connection = http1::Builder::new()
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod reload;
 mod serving;
 mod spoilt;
+mod stopping;
 
 use hollowpaddle_rehearsal::scripted::Node;
 use serde_json::Value;
