--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,10 +4,12 @@
 mod bad_clients;
 mod bodies;
 mod forms;
+mod leaving;
 mod operators;
 mod reload;
 mod serving;
 mod spoilt;
+mod stopping;
 mod watches;
 
 use hollowpaddle_rehearsal::scripted::Node;
