Don't go on from what was learned, or from a list kept, under other classes, zones or kinds

What a balancer has learned is kept by the numbers of classes and kinds. At fault: `Balancer::recall` in learned.rs and `Recovered::read` in kept.rs, which compared nothing else.

Settings now carry one figure of what their numbers mean, a hash of the names of classes, zones and kinds in their order. It is kept with what was learned and with the list; where it is another, neither is gone on from. Figures such as aims and deadlines are not in it: what was learned under them is still true of the same names. Operators' words are kept under any settings. What an older build has kept says no figure, so the first start of this one begins from nothing once.

Tests: policy `learned::what_does_not_fit_changes_nothing` (Ok before) and the meaning's own; gateway `kept::tests::what_was_saved_under_other_settings_is_not_gone_on_from` (believed before). Both seen to fail with the comparison switched off.

--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -57,6 +57,8 @@
 #[serde(default)]
 struct State {
     starts: Starts,
+    /// What the settings' numbers and names meant when that was learned and heard; an older build didn't say.
+    meaning: u64,
     learned: Option<Learned>,
     /// When that was learned, in milliseconds of Unix time. What is only passed on grows no younger.
     learned_ms: u64,
@@ -112,9 +114,10 @@
 }
 
 impl Recovered {
-    /// Reads what lies there, as far as it is to be believed at `now` (Unix time), and notes this start. Beside it what
-    /// counts of the list as last heard, over the one that the configuration names.
-    pub fn read(kept: Kept, now: Duration, known: &List) -> (Self, Option<Relisted>) {
+    /// Reads what lies there, as far as it is to be believed at `now` (Unix time) under settings of this
+    /// [meaning](hollowpaddle_policy::settings::Facts::meaning), and notes this start. Beside it what counts of the list
+    /// as last heard, over the one that the configuration names.
+    pub fn read(kept: Kept, now: Duration, known: &List, meaning: u64) -> (Self, Option<Relisted>) {
         let Kept { keep, found } = kept;
         let mut set_aside = Vec::new();
         for aside in &found.aside {
@@ -138,6 +141,13 @@
             tracing::error!(crashes, "a crash loop: gone on {}", way.name());
             (state.learned, state.learned_ms, state.list) = (None, 0, None);
         }
+        // Failure: the list of another deployment lay over the configuration's, and all that this names was gone.
+        if std::mem::replace(&mut state.meaning, meaning) != meaning {
+            if state.learned.is_some() || state.list.is_some() {
+                tracing::warn!("other classes, zones or kinds by now: gone on from nothing");
+            }
+            (state.learned, state.learned_ms, state.list) = (None, 0, None);
+        }
         let heard = now.saturating_sub(Duration::from_millis(state.list_ms));
         let list = state.list.as_ref().and_then(|list| relisted(list, known, heard, now));
         let list_age_s = list.is_some().then_some(heard.as_secs_f64());
@@ -302,3 +312,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/kept/tests.rs
@@ -0,0 +1,56 @@
+//! What a start believes of a snapshot, by the settings under which that was saved.
+
+use hollowpaddle_policy::interface::{Class, Settings, Span, Time};
+use hollowpaddle_policy::policy::Balancer;
+use hollowpaddle_snapshot::Snapshot;
+use serde_json::json;
+
+use super::*;
+
+const NOW: Duration = Duration::from_secs(1_000_000);
+
+struct Nowhere;
+
+impl Keep for Nowhere {
+    fn save(&self, _: Duration, _: Box<dyn FnOnce() -> Vec<u8> + Send>) {}
+    fn is_idle(&self) -> bool {
+        true
+    }
+    fn status(&self) -> Status {
+        Status { saved: None, failing: None, writing: false, passed_over: 0 }
+    }
+}
+
+/// A start whose settings mean `now`, on what a process has saved a second ago whose settings meant `then`.
+fn start(then: Option<u64>, now: u64) -> (Recovered, Option<Relisted>) {
+    let settings = Settings::basic(vec![Class::safe(Span(1000), Span(2000))]);
+    let learned = Balancer::new(settings, 1, Time(0)).expect("settings").learned();
+    let at = (NOW - Duration::from_secs(1)).as_millis() as u64;
+    let entry = json!({"id": "s-0", "host_port": "10.0.0.1:80", "phase": "DRAINING"});
+    let mut state = json!({
+        "learned": learned, "learned_ms": at, "list_ms": at,
+        "list": {"revision": 900, "complete": true, "members": [entry]},
+        "said": {"cordoned": ["s-7"]},
+    });
+    if let Some(then) = then {
+        state["meaning"] = then.into();
+    }
+    let payload = state.to_string().into_bytes();
+    let snapshot = Some(Snapshot { generation: 1, age: Duration::from_secs(1), payload });
+    let found = Found { snapshot, aside: Vec::new() };
+    Recovered::read(Kept { keep: Box::new(Nowhere), found }, NOW, &List::default(), now)
+}
+
+#[test]
+fn what_was_saved_under_other_settings_is_not_gone_on_from() {
+    let (same, list) = start(Some(u64::MAX), u64::MAX);
+    assert!(same.state.learned.is_some() && same.state.list.is_some() && list.is_some());
+    // An older build did not say under which.
+    for then in [Some(7), None] {
+        let (other, list) = start(then, 8);
+        assert!(other.state.learned.is_none() && list.is_none(), "{then:?}");
+        assert!(other.state.list.is_none() && other.list_age_s.is_none(), "{then:?}");
+        assert!(other.state.said.is_some(), "operators' words hold under any settings");
+        assert_eq!(other.state.meaning, 8, "what is saved from here on is of these");
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -123,7 +123,8 @@
     let budget = config.budget();
     let pool = Pool::new(budget.upstreams, &config, network.clone());
     let started = network.unix_now();
-    let recovered = kept.map(|kept| Recovered::read(kept, started, &config.known));
+    let meaning = config.facts.meaning();
+    let recovered = kept.map(|kept| Recovered::read(kept, started, &config.known, meaning));
     let (recovered, relisted) = recovered.map_or((None, None), |(all, list)| (Some(all), list));
     let banked =
         bank.as_ref().map(|link| Banked { calls: link.calls.clone(), classes: classes(&config) });
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -224,6 +224,9 @@
     pub reports: Reports,
     /// Classes may be kept from single upstreams as rules change ([`Member::barred`]): each has sums of its own.
     pub barring: bool,
+    /// Tells what the numbers of classes, zones and kinds mean: what a balancer has learned under another of these is
+    /// none of this one's. See [`crate::learned`].
+    pub meaning: u64,
 }
 
 impl Class {
@@ -288,6 +291,7 @@
             marks_retry: false,
             reports: Reports::None,
             barring: false,
+            meaning: 0,
         }
     }
 }
--- a/crates/policy/src/learned.rs
+++ b/crates/policy/src/learned.rs
@@ -11,6 +11,9 @@
 /// What was learned. Times and latencies in microseconds, rates in answers a microsecond, as the module keeps them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Learned {
+    /// Under which settings, as [`crate::interface::Settings::meaning`] says; what an older build learned doesn't say.
+    #[serde(default)]
+    meaning: u64,
     ts: f64,
     good: f64,
     leeway: f64,
@@ -54,6 +57,9 @@
     /// The settings were others: so many classes there, and here.
     #[error("it was learned of {0} classes, and there are {1}")]
     Classes(usize, usize),
+    /// So many classes there were, but other ones, or other zones or kinds of upstreams.
+    #[error("it was learned of other classes, zones or kinds")]
+    Meaning,
     /// Some figure is none that a balancer keeps.
     #[error("a figure of it is out of range")]
     Nonsense,
@@ -118,6 +124,7 @@
             .collect();
         upstreams.sort_unstable_by_key(|u| u.identity);
         Learned {
+            meaning: self.settings.meaning,
             ts: f.ts,
             good: f.good,
             leeway: f.leeway,
@@ -140,6 +147,10 @@
         if learned.classes.len() != classes {
             return Err(NotRecalled::Classes(learned.classes.len(), classes));
         }
+        // Failure: what a class of other settings had taught decided for the one that has its number here.
+        if learned.meaning != self.settings.meaning {
+            return Err(NotRecalled::Meaning);
+        }
         if !learned.is_sound() {
             return Err(NotRecalled::Nonsense);
         }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -254,6 +254,13 @@
 }
 
 impl Facts {
+    /// What the numbers of classes, zones and kinds mean, in one figure: the same wherever these names stand in the
+    /// same order.
+    pub fn meaning(&self) -> u64 {
+        let classes: Vec<&str> = self.services.iter().map(|s| s.name.as_str()).collect();
+        stable_hash(&format!("{classes:?} {:?} {:?}", self.zones, self.machine_types))
+    }
+
     /// The module's settings: names become indexes, milliseconds microseconds.
     pub fn settings(&self) -> d::Settings {
         let facts = self;
@@ -337,6 +344,7 @@
                 How::Silent => d::Reports::None,
             },
             barring: false,
+            meaning: facts.meaning(),
         }
     }
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -65,6 +65,7 @@
         marks_retry: false,
         reports: Reports::None,
         barring: false,
+        meaning: 7,
     }
 }
 
--- a/crates/policy/tests/learned.rs
+++ b/crates/policy/tests/learned.rs
@@ -5,6 +5,7 @@
 use common::{MS, World, member, settings};
 use hollowpaddle_policy::interface::*;
 use hollowpaddle_policy::learned::{Learned, NotRecalled};
+use hollowpaddle_policy::settings::Facts;
 
 /// Upstreams 0 to 3, of which the first takes four times as long as the others.
 fn taught() -> World {
@@ -66,6 +67,13 @@
     let before = new.balancer.learned();
     assert_eq!(new.balancer.recall(new.now, &learned), Err(NotRecalled::Classes(3, 1)));
     assert_eq!(new.balancer.learned(), before);
+    // So many classes as here, but others.
+    let mut others = settings();
+    others.meaning += 1;
+    let mut new = World::with_servers(others, 4);
+    let before = new.balancer.learned();
+    assert_eq!(new.balancer.recall(new.now, &learned), Err(NotRecalled::Meaning));
+    assert_eq!(new.balancer.learned(), before);
     let mut new = World::with_servers(settings(), 4);
     let before = new.balancer.learned();
     assert_eq!(new.balancer.recall(new.now, &Learned::default()), Err(NotRecalled::Classes(0, 3)));
@@ -85,3 +93,28 @@
     let text = serde_json::to_string(&learned).expect("as JSON");
     assert_eq!(serde_json::from_str::<Learned>(&text).expect("read back"), learned);
 }
+
+#[test]
+fn the_meaning_of_settings_is_in_their_names_and_their_order() {
+    let facts = |classes: [&str; 2], zones: [&str; 2], kinds: [&str; 2], deadline: f64| {
+        let class = |name| serde_json::json!({"Name": name, "Aim": 10.0, "Deadline": deadline, "Effect": "dedup"});
+        let said = serde_json::json!({
+            "Balancers": 1, "Tick": 1.0, "RegistryMode": "automatic", "Services": classes.map(class),
+            "Zones": zones, "MachineTypes": kinds, "PolicyLimits": {"MaxAttempts": 3},
+            "Safety": {"Cold": 0.0, "ColdFrom": 1.0, "FallMultiple": 1.0, "TipAfter": 0.0},
+        });
+        serde_json::from_value::<Facts>(said).expect("facts")
+    };
+    let ours = facts(["a", "b"], ["x", "y"], ["k", "l"], 100.0);
+    assert_eq!(ours.settings().meaning, ours.meaning());
+    assert_eq!(facts(["a", "b"], ["x", "y"], ["k", "l"], 900.0).meaning(), ours.meaning());
+    for other in [
+        facts(["b", "a"], ["x", "y"], ["k", "l"], 100.0),
+        facts(["a", "c"], ["x", "y"], ["k", "l"], 100.0),
+        facts(["a", "b"], ["y", "x"], ["k", "l"], 100.0),
+        facts(["a", "b"], ["x", "y"], ["l", "k"], 100.0),
+        facts(["a", "b"], ["k", "l"], ["x", "y"], 100.0),
+    ] {
+        assert_ne!(other.meaning(), ours.meaning());
+    }
+}
