Close each client's connection in order, and answer all before the kill

What was seen: `what_crosses_with_a_close_neither_resets_it_nor_is_sent_on`: a connection that had outstayed (nothing asked, half a line, idle) or gave way to others was dropped at once, so bytes that crossed with the close met a reset. Only connections that hyper had ended were read out. `a_request_whose_last_byte_comes_late_is_answered_before_the_kill`: a body whose last byte came 0.9 s after SIGTERM had its whole deadline from there, and the process ended before that: an end and no answer.

At fault: `converse` (only `ended` reads out), `arrival` (deadline past the end of the process), `serve` (`longest + FINISH` from the last accept, by the clock alone).

Change: each way out but the client's own end shuts our sending down and reads out for up to 0.5 s; one that gives way while no place is left reads what is there and goes. A connection on which nothing was asked has 0.1 s more for its first request at the end. A request taken after SIGTERM has until 0.62 s and the longest deadline after that signal, before the 0.7 s of PROTOCOL; the process then stays ten turns of its loop.

Ruled out by tests that pass before and after: a second SIGTERM and SIGHUP during the stop; SIGTERM with nothing to send to and with discovery down; a request that crossed with a close comes again with its id while the first is read out, no 409.

Unit tests of net, simnet and gateway pass; clippy is clean.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -23,7 +23,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashSet;
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::bodies::{Allowance, NotTaken, Pace, Taken, take};
@@ -51,10 +51,19 @@
 const BACKLOG: Duration = Duration::from_millis(50);
 /// The front asks every 0.1 s whether clients may come, and sends them for 0.2 s more.
 const NOTICE: Duration = Duration::from_millis(600);
+/// Clients send their first request right away: so long a connection on which nothing was asked is given for that. Failure:
+/// those that had just come up were closed with no answer.
+const FIRST: Duration = Duration::from_millis(100);
 /// How long what has come on a connection is given to be read before the connection closes.
 const CROSSING: Duration = Duration::from_millis(2);
-/// After the last deadline, time for the answers to be written.
-const FINISH: Duration = Duration::from_millis(100);
+/// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM (PROTOCOL, 'Figures'): the longest deadline
+/// and so long after it each request has its answer. Failure: one whose last byte came late had all of its own deadline,
+/// and was lost as the process ended.
+const LAST: Duration = Duration::from_millis(620);
+/// Then the answers are written: 50 ms, and so many turns of the loop. Failure: held up by a busy machine, a process ended
+/// in the very turn that gave the last answers.
+const FINISH: u32 = 10;
+const LOOK: Duration = Duration::from_millis(5);
 /// Long answers that are being passed on at the end are waited for so long more.
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
@@ -96,6 +105,8 @@
     dozes: Rc<Dozes>,
     /// The process ends.
     stopping: Cell<bool>,
+    /// By when all is answered, once it does.
+    ends: Cell<Option<Instant>>,
     /// Operators send clients away.
     quiesced: Cell<bool>,
     /// How often they have said so, or the contrary.
@@ -132,6 +143,7 @@
             bodies: Allowance::new(config.memory / BODIES_OF_MEMORY),
             dozes: Rc::default(),
             stopping: Cell::new(false),
+            ends: Cell::new(None),
             quiesced: Cell::new(false),
             quiesce_serial: Cell::new(0),
             closing: RefCell::default(),
@@ -193,6 +205,7 @@
             tracing::info!("stopping");
             // From here each answer asks its client to go elsewhere; new connections still find us.
             self.stopping.set(true);
+            self.ends.set(Some(Instant::now() + self.longest + LAST));
             if succeeded() {
                 tracing::info!("a newer process accepts from here on");
             } else {
@@ -208,21 +221,18 @@
         }
         drop(listener);
         self.close_idle();
-        let finished = async || {
-            while self.connections.len() > 0 {
-                sleep(Duration::from_millis(5)).await;
+        let (ends, mut turns) = (self.ends.get().unwrap_or_else(Instant::now), 0);
+        while self.connections.len() > 0 && turns < FINISH {
+            sleep(LOOK).await;
+            turns += u32::from(Instant::now() >= ends);
+        }
+        // What is left and not long is lost; a long answer that its client reads is not, by us.
+        let passed = async {
+            while self.connections.any_answering() {
+                sleep(LOOK).await;
             }
         };
-        // Counted from the last accept, not from the signal: what came last has its whole deadline.
-        if timeout(self.longest + FINISH, finished()).await.is_err() {
-            // What is left and not long is lost; a long answer that its client reads is not, by us.
-            let passed = async {
-                while self.connections.any_answering() {
-                    sleep(Duration::from_millis(5)).await;
-                }
-            };
-            let _ = timeout(LAST_ANSWERS, passed).await;
-        }
+        let _ = timeout(LAST_ANSWERS, passed).await;
     }
 
     async fn accept(self: &Rc<Self>, listener: &mut dyn Listener) {
@@ -261,14 +271,25 @@
         let ahead = LookAhead::default();
         let io = io.keeping(&raw, &ahead);
         let service = service_fn(|request| self.respond(request, &seat, &raw, &ahead, &stream));
-        let ended = {
+        let stays = {
             let connection = http1::Builder::new()
                 .header_read_timeout(None) // Each connection's own limits hold.
                 .max_buf_size(HEAD_LIMIT)
                 .max_headers(HEAD_LINES)
                 .serve_connection(TokioIo::new(io), service);
             tokio::pin!(connection);
-            let mut stopping = false;
+            let closes = async {
+                closing.given().await;
+                // What has come and is not read yet was asked before the close.
+                let crosses = !stream.borrow().is_quiet();
+                match known.is_new() {
+                    true => sleep(FIRST).await,
+                    false if crosses => sleep(CROSSING).await,
+                    false => {}
+                }
+            };
+            tokio::pin!(closes);
+            let mut told = false;
             loop {
                 let gone = poll_fn(|cx| {
                     if known.is_asked() { ahead.poll_end(&stream, cx) } else { Poll::Pending }
@@ -277,28 +298,26 @@
                 tokio::select! {
                     biased;
                     _ = &mut connection => break true,
-                    () = known.outstays() => break false,
+                    () = known.outstays() => break true,
                     () = gone => break false,
-                    () = closing.given(), if !stopping => {
-                        stopping = true;
-                        // What has come and is not read yet was asked before the close.
-                        let crosses = !stream.borrow().is_quiet();
-                        let wait = if crosses { CROSSING } else { Duration::ZERO };
-                        if timeout(wait, &mut connection).await.is_ok() {
-                            break true;
-                        }
+                    () = &mut closes, if !told => {
+                        told = true;
                         connection.as_mut().graceful_shutdown();
                     }
                 }
             }
         };
-        if ended {
-            known.closing();
-            tokio::select! {
-                biased;
-                _ = timeout(LINGER_TIME, read_out(&stream)) => {}
-                () = known.evicted() => {}
-            }
+        if !stays {
+            return;
+        }
+        // Where no place is left for the next client, no more is waited for than what is there.
+        let crowded = known.gives_way() && self.connections.full();
+        let linger = if crowded { Duration::ZERO } else { LINGER_TIME };
+        known.closing();
+        tokio::select! {
+            biased;
+            _ = timeout(linger, close(&stream)) => {}
+            () = known.evicted() => {}
         }
     }
 
@@ -447,7 +466,7 @@
             class,
             tenant,
             key: cookie(&head.headers, "sid").map(key_hash),
-            until: arrived + deadline,
+            until: self.ends.get().map_or(arrived + deadline, |ends| ends.min(arrived + deadline)),
             cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
             resent: text("x-retry").is_some_and(|v| v == "1"),
             cancellation: Cancellation::new(stream),
@@ -492,9 +511,10 @@
     path.map_or(target, Uri::from)
 }
 
-/// Reads what still comes until the client closes too. Failure: closed with something unread, the kernel
-/// resets the connection, and the answer may be lost on its way.
-async fn read_out(stream: &Shared) {
+/// Ends our sending, and reads what still comes until the client closes too. Failure: closed with something unread, the
+/// kernel resets the connection, and the answer may be lost on its way.
+async fn close(stream: &Shared) {
+    let _ = poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_shutdown(cx)).await;
     let mut scrap = vec![0; HEAD_LIMIT];
     let mut left = LINGER_BYTES;
     while left > 0 {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -58,6 +58,16 @@
         self.state.set(State::Closing { since: Instant::now() });
     }
 
+    /// Whether nothing was asked on it yet.
+    pub fn is_new(&self) -> bool {
+        matches!(self.state.get(), State::New { .. })
+    }
+
+    /// Whether it was told to give way.
+    pub fn gives_way(&self) -> bool {
+        matches!(self.state.get(), State::Evicted)
+    }
+
     /// Whether a request is open, and its answer has not begun.
     pub fn is_asked(&self) -> bool {
         matches!(self.state.get(), State::Asked)
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -1,11 +1,14 @@
-//! SIGTERM, and what crosses with it.
+//! SIGTERM, and what crosses with it; and connections that the node closes, and what crosses with that.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::start;
 use hollowpaddle_rehearsal::scripted::*;
+use serde_json::json;
 
 const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
 /// The node accepts for half a second after SIGTERM.
@@ -72,3 +75,120 @@
     }
     assert_eq!(node.exit_code(), Some(0));
 }
+
+/// After its end was read, a request that crosses with it: whether it was taken without a reset.
+fn crosses(stream: &mut TcpStream) -> bool {
+    let mut rest = Vec::new();
+    let in_order = stream.read_to_end(&mut rest).is_ok();
+    // A reset that the first half brings about is told with the second.
+    let text = read("crossed", 5000);
+    let (half, more) = text.as_bytes().split_at(20);
+    let written = stream.write_all(half).is_ok() && stream.write_all(more).is_ok();
+    in_order && written && ends(stream)
+}
+
+#[test]
+fn what_crosses_with_a_close_neither_resets_it_nor_is_sent_on() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let mut config = config(members(&[&upstream]));
+    config["limits"]["sockets"] = json!(128); // Up to 32 may idle.
+    let mut node = start(&config);
+    let asked = |node: &Node, id: &str| {
+        let mut stream = connect(node);
+        stream.write_all(read(id, 5000).as_bytes()).expect("written");
+        assert!(stream.read(&mut [0; 4096]).expect("an answer") > 0);
+        stream
+    };
+    let mut idles = asked(&node, "idles");
+    let mut silent = connect(&node);
+    let mut half = connect(&node);
+    half.write_all(b"GET /api HT").expect("written");
+    assert!(crosses(&mut silent), "nothing was asked");
+    assert!(crosses(&mut half), "half a line");
+    assert!(crosses(&mut idles), "idle for too long");
+    let mut wrong = connect(&node);
+    wrong.write_all(b"NO REQUEST\r\n\r\n").expect("written");
+    assert!(crosses(&mut wrong), "malformed");
+    let mut many: Vec<TcpStream> = (0..33).map(|i| asked(&node, &format!("m{i}"))).collect();
+    assert!(crosses(&mut many[0]), "one of too many");
+    node.signal("TERM");
+    assert!(crosses(&mut many[32]), "the node ends");
+    assert_eq!(node.exit_code(), Some(0));
+    let seen = upstream.seen.try_iter().filter_map(|s| match s {
+        Seen::Request(_, m) => Some(m.header("x-request-id").to_string()),
+        _ => None,
+    });
+    assert_eq!(seen.filter(|id| id == "crossed").count(), 0);
+}
+
+#[test]
+fn a_request_that_crossed_with_a_close_comes_again_on_a_new_connection() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = start(&config(members(&[&upstream])));
+    let mut first = connect(&node);
+    first.write_all(b"GET /api HT").expect("written");
+    assert!(crosses(&mut first));
+    // While the first one is still read out.
+    assert_eq!(node.client().ask(&read("crossed", 5000)).status(), 200);
+}
+
+#[test]
+fn signals_that_come_while_it_ends_change_nothing() {
+    let (go, waits) = channel();
+    let waits = Arc::new(Mutex::new(waits));
+    let upstream = Upstream::start(move |_| Does::Waits(waits.clone()));
+    let mut node = start(&config(members(&[&upstream])));
+    let mut taken = node.client();
+    taken.send(&read("r1", 5500));
+    upstream.request();
+    told_to_end(&node);
+    for signal in ["TERM", "HUP", "TERM"] {
+        node.signal(signal);
+        // It goes on serving.
+        assert_eq!(node.client().ask(READY).status(), 503);
+    }
+    go.send(()).expect("the upstream waits");
+    assert_eq!(taken.answer().expect("an answer").status(), 200);
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+#[test]
+fn it_ends_before_it_was_ready_and_with_no_discovery() {
+    for down in [false, true] {
+        let mut config = config(vec![]);
+        if down {
+            let nobody = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr();
+            config["discovery"] = json!(nobody.expect("bound").to_string());
+        }
+        let mut node = start(&config);
+        let from = Instant::now();
+        node.signal("TERM");
+        assert_eq!(node.exit_code(), Some(0));
+        assert!(from.elapsed() < Duration::from_secs(5), "{:?}", from.elapsed());
+    }
+}
+
+#[test]
+fn a_request_whose_last_byte_comes_late_is_answered_before_the_kill() {
+    let upstream = Upstream::start(|_| Does::Hangs);
+    let mut config = config(members(&[&upstream]));
+    for class in 0..3 {
+        config["settings"]["Services"][class]["Deadline"] = json!(1000.0);
+    }
+    let mut node = start(&config);
+    let text = alarm("late", 1000, "body");
+    let (most, last) = text.split_at(text.len() - 1);
+    let mut client = node.client();
+    client.send(most);
+    let from = Instant::now();
+    told_to_end(&node);
+    // SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
+    let kill = from + Duration::from_millis(1700);
+    std::thread::sleep(Duration::from_millis(900));
+    client.send(last);
+    let answer = client.answer().expect("an answer, not an end");
+    assert!(answer.status() >= 500, "{answer:?}");
+    let late = Instant::now().saturating_duration_since(kill);
+    assert!(late < Duration::from_millis(300), "{late:?} after the kill");
+    assert_eq!(node.exit_code(), Some(0));
+}
