Let a send earned at a cold upstream lapse, and bound what a bank makes of what it saw

Two causes, both in policy.rs. earned(): a proxy with too few requests kept the one send that it had earned for as long as the upstream was cold, so hundreds had one to spend in the same window. warm_rate(): a proxy of hundreds sees a few answers a window, keeps the most it saw, and these peaks add up to several times what one upstream serves.

Now a send that is not used within a quarter of the window (tip_after) is gone, unless the pace is such that as many more are earned meanwhile; and the pace from what was seen is bounded by half of an even part of the stated multiple. Proxies that saw nothing, and owners, have the pace they had.

earns_at() tells when the next whole send is earned, also behind one that has lapsed. count_send and earn are one function now.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -55,6 +55,10 @@
 const OWN: f64 = 0.5;
 /// Pace to a young upstream of one's own, as a share of the stated multiple: few proxies own the same one.
 const OWNER_PACE: f64 = 1.0 / 3.0;
+/// Pace of the whole bank to it, from what each proxy has seen, as a share of the same at most.
+const EVEN_PACE: f64 = 0.5;
+/// A send that a young upstream has earned is kept for this share of the window in which it may fall.
+const KEPT_OF_WINDOW: f64 = 0.25;
 /// A proxy starts with so many times its even part of the bank's slots: clients are never spread evenly.
 const LEEWAY: f64 = 1.2;
 /// Each answer at the limit moves that by so much.
@@ -395,7 +399,7 @@
             }
             let slot = self.up.ring.at(j).slot;
             self.up.servers[slot].reach = self.up.reach(j, &part, FAR);
-            self.earn(now, slot);
+            self.earn(now, slot, 0.0);
         }
         if of != Sweep::Rest {
             self.refresh_fleet(now);
@@ -663,7 +667,7 @@
     }
 
     fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
-        self.count_send(now, server);
+        self.earn(now, server, 1.0);
         self.release(id);
         let Some(e) = self.queue.get_mut(id) else { return };
         let (first, timeout) = (e.attempts.is_empty(), e.worth_until.since(now));
@@ -993,24 +997,25 @@
 impl Balancer {
     /// Share of its capacity that a young upstream has for certain; `None` once warm.
     fn cold_share(&self, now: Time, s: &Server) -> Option<f64> {
-        let age = now.since(s.started?);
-        let rules = &self.settings.rules;
-        if age >= rules.cold {
-            return None;
-        }
+        let (age, rules) = (now.since(s.started?), &self.settings.rules);
         let grown = (age.f() / rules.cold.f()).max(0.0);
-        Some(rules.cold_from + (1.0 - rules.cold_from) * grown)
+        (age < rules.cold).then_some(rules.cold_from + (1.0 - rules.cold_from) * grown)
     }
 
     fn cold_allows(&self, now: Time, s: &Server) -> bool {
         self.earned(now, s).is_none_or(|tokens| tokens >= 1.0)
     }
 
-    /// Sends that a young upstream has earned by now, one at most; `None` once warm.
+    /// Sends that a young upstream has earned by now, kept for a while; `None` once warm.
     fn earned(&self, now: Time, s: &Server) -> Option<f64> {
-        let share = self.cold_share(now, s)?;
-        let elapsed = now.since(s.refilled).f().max(0.0);
-        Some((s.tokens + elapsed * self.warm_rate(s) * share).min(1.0))
+        let pace = self.warm_rate(s) * self.cold_share(now, s)?;
+        let earned = s.tokens + now.since(s.refilled).f().max(0.0) * pace;
+        // Failure: what each of hundreds had kept for want of requests was spent in one burst by all.
+        let kept = pace * self.settings.rules.tip_after.f() * KEPT_OF_WINDOW;
+        if kept >= 1.0 {
+            return Some(earned.min(1.0));
+        }
+        Some(if earned > 1.0 + kept { earned.fract() } else { earned })
     }
 
     /// Answers per microsecond that one warm upstream like `s` has been seen to give.
@@ -1021,7 +1026,8 @@
         let multiple = self.settings.rules.fall_multiple.max(1.0);
         // Failure: with every upstream young, or nothing observed yet, none got any work.
         let least = multiple / self.up.sharers / f.paced;
-        let rate = if rate > 0.0 { rate } else { least };
+        // Failure: each of hundreds saw little and kept the most: together several times the truth.
+        let rate = if rate > 0.0 { rate.min(least * EVEN_PACE * self.lanes(s)) } else { least };
         // Failure: a fleet that grew fourfold kept refusing: each young upstream had the pace of an even
         // spread over the bank, but only the proxies whose own it was sent it anything.
         let owner =
@@ -1031,24 +1037,21 @@
 
     /// No later than when a young upstream will have earned a send: its share grows on the way there.
     fn earns_at(&self, now: Time, s: &Server) -> Time {
-        let (missing, rate) = (1.0 - s.tokens, self.warm_rate(s));
+        let (rate, passed) = (self.warm_rate(s), now.since(s.refilled).f().max(0.0));
+        let by_now = s.tokens + passed * rate * self.cold_share(now, s).unwrap_or(1.0);
         let after = |at: Time| {
             let share = self.cold_share(at, s).unwrap_or(1.0);
+            let missing = by_now.floor() + 1.0 - s.tokens;
             s.refilled.plus(Span::of((missing / (rate * share)).min(1e15)))
         };
         after(after(now)).max(now.plus(Span(1)))
     }
 
-    fn count_send(&mut self, now: Time, server: usize) {
-        let Some(earned) = self.earned(now, &self.up.servers[server]) else { return };
-        let s = &mut self.up.servers[server];
-        (s.tokens, s.refilled) = (earned - 1.0, now);
-    }
-
-    /// Books what a young upstream has earned by now, before its pace changes.
-    fn earn(&mut self, now: Time, server: usize) {
+    /// Books what a young upstream has earned by now, before its pace changes, and what of it is spent.
+    fn earn(&mut self, now: Time, server: usize, spent: f64) {
         if let Some(earned) = self.earned(now, &self.up.servers[server]) {
-            (self.up.servers[server].tokens, self.up.servers[server].refilled) = (earned, now);
+            let s = &mut self.up.servers[server];
+            (s.tokens, s.refilled) = (earned - spent, now);
         }
     }
 
@@ -1068,10 +1071,8 @@
             *peak = (*peak * (-elapsed / cold).exp()).max(seen);
         };
         keep(&mut f.any_rate, f.warm_served.iter().sum(), f.warm_past.iter().sum());
-        let served = f.warm_served.iter().zip(&f.warm_past);
-        for (peak, (served, weight)) in f.warm_rate.iter_mut().zip(served) {
-            keep(peak, *served, *weight);
-        }
+        let seen = f.warm_served.iter().zip(&f.warm_past).zip(&mut f.warm_rate);
+        seen.for_each(|((served, weight), peak)| keep(peak, *served, *weight));
     }
 }
 
--- a/crates/policy/tests/scanning/policy.rs
+++ b/crates/policy/tests/scanning/policy.rs
@@ -13,6 +13,8 @@
 //!    and hoped for in admission, and nobody is refused while an upstream stands idle.
 //! 8. Warm upstreams of a kind that has served nothing yet count in the weight of all.
 //! 9. What warm upstreams served is spread over those that were warm then, not over those that are left.
+//! 10. A send that a young upstream has earned, and that nobody used, is gone after a while; and all proxies but the
+//!     owners together go by what they have seen up to a bound.
 //!
 //! The ordinary path is Ould Deye et al.'s: a first-come queue, at most `K_i = 2*TP_i/TS_i + 1` requests out
 //! per upstream, and refusal once queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`.
@@ -71,6 +73,10 @@
 const OWN: f64 = 0.5;
 /// Pace to a young upstream of one's own, as a share of the stated multiple: few proxies own the same one.
 const OWNER_PACE: f64 = 1.0 / 3.0;
+/// Pace of the whole bank to it, from what each proxy has seen, as a share of the same at most.
+const EVEN_PACE: f64 = 0.5;
+/// A send that a young upstream has earned is kept for this share of the window in which it may fall.
+const KEPT_OF_WINDOW: f64 = 0.25;
 /// A proxy starts with so many times its even part of the bank's slots: clients are never spread evenly.
 const LEEWAY: f64 = 1.2;
 /// Each answer at the limit moves that by so much.
@@ -1030,9 +1036,17 @@
 
     /// Sends that a young upstream has earned by now, one at most; `None` once warm.
     fn earned(&self, now: Time, s: &Server) -> Option<f64> {
-        let share = self.cold_share(now, s)?;
-        let elapsed = now.since(s.refilled).f().max(0.0);
-        Some((s.tokens + elapsed * self.warm_rate(s) * share).min(1.0))
+        let pace = self.warm_rate(s) * self.cold_share(now, s)?;
+        let earned = s.tokens + now.since(s.refilled).f().max(0.0) * pace;
+        let kept = pace * self.settings.rules.tip_after.f() * KEPT_OF_WINDOW;
+        let over = earned > 1.0 + kept;
+        Some(if kept >= 1.0 {
+            earned.min(1.0)
+        } else if over {
+            earned.fract()
+        } else {
+            earned
+        })
     }
 
     /// Answers per microsecond that one warm upstream like `s` has been seen to give.
@@ -1043,7 +1057,8 @@
         let multiple = self.settings.rules.fall_multiple.max(1.0);
         // Failure: with every upstream young, or nothing observed yet, none got any work.
         let least = multiple / f64::from(self.settings.balancers) / f.paced;
-        let rate = if rate > 0.0 { rate } else { least };
+        // Failure: each of hundreds saw little, kept the most that it saw, and that came to several times the truth.
+        let rate = if rate > 0.0 { rate.min(least * EVEN_PACE * self.lanes(s)) } else { least };
         // Failure: a fleet that grew fourfold kept refusing: each young upstream had the pace of an even
         // spread over the bank, but only the proxies whose own it was sent it anything.
         let owner =
