Ask for the list within one bound of 6 s, whatever the settings let a balancer wait

Waits grew with `ask_every`, which a site may set to any length: at ten minutes a start waited up to 30 s, and a failed call up to 4 min.

Now asking.rs divides PROTOCOL's 6 s in one place: SILENCE 2.6 s, PAUSE 0.5 s, a call of SILENCE again, MARGIN 0.3 s. A wait is drawn from nothing up to its bound; after a call that failed at once the bound is what is left of the time, and half of it at most, so that a second one still fits. A timer of its own tells when a call is due.

tests/scanning, the oracle of the index, takes over the same asking: what it compares is the choice of upstreams, and it has to ask as the module does to be compared action for action. No test was eased.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod asking;
 mod gauges;
 pub mod interface;
 pub mod learned;
--- a/crates/policy/tests/scanning/policy.rs
+++ b/crates/policy/tests/scanning/policy.rs
@@ -22,6 +22,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use hollowpaddle_order::total::Total;
+use hollowpaddle_policy::asking::Asking;
 use hollowpaddle_policy::interface::*;
 
 use super::state::*;
@@ -106,10 +107,6 @@
 const TRIALS_LATER: f64 = 1.0 / 96.0;
 /// TS of an upstream before any answer from any upstream, as a share of T_QoS.
 const TS_PRIOR_OF_QOS: f64 = 0.25;
-/// Longest first wait before the list is asked, as a share of `ask_every`: restarts must not swamp it.
-const ASK_JITTER_OF_EVERY: f64 = 0.05;
-/// A list call unanswered for this share of `ask_every` is made again.
-const ASK_AGAIN_OF_EVERY: f64 = 0.5;
 
 // ---------------------------------------------------------------- settings
 
@@ -1123,6 +1120,7 @@
 // ---------------------------------------------------------------- membership and time
 
 const SWEEP: u64 = 1;
+const ASK: u64 = 2;
 
 impl Balancer {
     /// A balancer that knows its settings and nothing else yet. Its first event starts its timers: give it
@@ -1166,7 +1164,7 @@
                 ..Fleet::default()
             },
             quotas: settings.tenants.iter().map(|_| Quota { tokens: 1.0, counted: now }).collect(),
-            ask: Asking { subscribed: false, next: now, failures: 0 },
+            ask: Asking::new(settings.rules.ask_every, now, 0.0),
             settings,
         })
     }
@@ -1190,21 +1188,20 @@
 
     /// Begins to keep time and to ask for the list, with the first event.
     fn start(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.ask.next = now.plus(self.jitter(ASK_JITTER_OF_EVERY));
+        self.ask = Asking::new(self.settings.rules.ask_every, now, self.rng.rand_float());
+        self.arm_ask(out);
         self.arm(now, out);
     }
 
-    fn jitter(&mut self, of_every: f64) -> Span {
-        Span::of(self.rng.rand_float() * of_every * self.settings.rules.ask_every.f())
-    }
-
     fn arm(&mut self, now: Time, out: &mut Vec<Action>) {
         out.push(Action::Arm { token: SWEEP, at: now.plus(self.settings.sweep_every()) });
     }
 
     fn timer(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
-        if token != SWEEP {
-            return;
+        match token {
+            ASK => return self.ask_for_list(now, out),
+            SWEEP => {}
+            _ => return,
         }
         self.watch(now);
         self.refresh_warm(now);
@@ -1223,28 +1220,27 @@
     }
 
     fn ask_for_list(&mut self, now: Time, out: &mut Vec<Action>) {
-        if !self.settings.must_ask || self.ask.subscribed || now < self.ask.next {
-            return;
+        if self.settings.must_ask && self.ask.asks(now) {
+            out.push(Action::Subscribe);
+            self.arm_ask(out);
+        }
+    }
+
+    /// The sweep may come too seldom for it. Failure: with aims of a minute the list was asked for 2 s late.
+    fn arm_ask(&self, out: &mut Vec<Action>) {
+        if self.settings.must_ask {
+            out.push(Action::Arm { token: ASK, at: self.ask.next() });
         }
-        out.push(Action::Subscribe);
-        let again = Span::of(self.settings.rules.ask_every.f() * ASK_AGAIN_OF_EVERY);
-        self.ask.next = now.plus(again).plus(self.jitter(ASK_JITTER_OF_EVERY));
     }
 
     fn members(&mut self, now: Time, kind: ListKind, list: &[Member], out: &mut Vec<Action>) {
         match kind {
             ListKind::Unavailable => {
-                self.ask.subscribed = false;
-                self.ask.failures = (self.ask.failures + 1).min(3);
-                let wait = ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures);
-                self.ask.next = now.plus(self.jitter(wait));
-                return;
+                self.ask.failed(now, self.rng.rand_float());
+                return self.arm_ask(out);
             }
             ListKind::Restored | ListKind::Aside => {}
-            ListKind::Update | ListKind::Whole => {
-                self.ask.subscribed = true;
-                self.ask.failures = 0;
-            }
+            ListKind::Update | ListKind::Whole => self.ask.told(),
         }
         let before: Vec<Status> = self.servers.iter().map(|s| s.status).collect();
         self.listed.clear();
--- a/crates/policy/tests/scanning/state.rs
+++ b/crates/policy/tests/scanning/state.rs
@@ -73,14 +73,6 @@
     pub(crate) counted: Time,
 }
 
-/// Where the list must be asked: when to ask next.
-#[derive(Debug)]
-pub(crate) struct Asking {
-    pub(crate) subscribed: bool,
-    pub(crate) next: Time,
-    pub(crate) failures: i32,
-}
-
 /// What is known of so many requests side by side at upstreams of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Level {
