Test whole balancers on answers that break off, before and behind the first 64 KiB

A rig in crates/gateway/tests/attempts runs `serve` on the simulated network with a paused clock: one scripted upstream, a client, and a network whose connections to the upstream come up when the test says.

No length and an orderly close is an end. An end that never comes, and an upstream that rests, are answered 504 within the client's time. hyper reports a reset of a close-delimited body as an error of the body (Decoder::eof passes the read's error on).

A 503 with X-Not-Run before the request's last byte is taken as turned away, as before.

No code is changed.

--- /dev/null
+++ b/crates/gateway/tests/attempts/answers.rs
@@ -0,0 +1,102 @@
+//! Which answer belongs to whom, and what is one.
+
+use std::time::Duration;
+
+use crate::rig::{Does, Rig, Seen, ok, request, settings};
+
+/// More than is held back of an answer.
+const LONG: usize = 80 << 10;
+
+fn no_length(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n\r\n{body}")
+}
+
+fn too_short(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len() + 1)
+}
+
+fn no_last_chunk(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n", body.len())
+}
+
+/// Ways in which an answer with this body breaks off.
+fn broken(body: &str) -> Vec<Does> {
+    vec![
+        Does::Ends(too_short(body)),
+        Does::Resets(too_short(body)),
+        Does::Resets(no_length(body)),
+        Does::Ends(no_last_chunk(body)),
+        Does::Resets(no_last_chunk(body)),
+    ]
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_breaks_off_is_none() {
+    for way in broken("half") {
+        Rig::run(settings(), vec![way], async |mut rig| {
+            let (status, _) = rig.client().await.ask(&request("alarm", "r1", 6000, "x")).await;
+            assert_eq!(status, 502, "it may have run");
+            assert!(matches!([rig.sees().await, rig.sees().await], [Seen::Head(_), Seen::Whole]));
+            assert!(rig.saw_nothing() && rig.links.begun.get() == 1, "it was sent again");
+        })
+        .await;
+    }
+    for way in broken("half") {
+        Rig::run(settings(), vec![way, Does::Answers(ok("whole"))], async |rig| {
+            let answer = rig.client().await.ask(&request("read", "r1", 6000, "")).await;
+            assert_eq!(answer, (200, "whole".to_string()));
+        })
+        .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_long_answer_that_breaks_off_can_be_told_from_a_whole_one() {
+    for way in broken(&"x".repeat(LONG)) {
+        Rig::run(settings(), vec![way], async |rig| {
+            let mut client = rig.client().await;
+            client.send(&request("alarm", "r1", 6000, "x")).await;
+            let (status, _, whole) = client.long_answer().await;
+            assert_eq!((status, whole), (200, false));
+        })
+        .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_without_a_length_ends_with_an_orderly_close() {
+    for length in [4, LONG] {
+        let does = vec![Does::Ends(no_length(&"x".repeat(length)))];
+        Rig::run(settings(), does, async |rig| {
+            let mut client = rig.client().await;
+            client.send(&request("alarm", "r1", 6000, "x")).await;
+            assert_eq!(client.long_answer().await, (200, length, true));
+        })
+        .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_may_turn_away_what_it_has_not_read() {
+    let away = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let does = vec![Does::Early(away.to_string(), String::new()), Does::Answers(ok("own"))];
+    Rig::run(settings(), does, async |rig| {
+        let long = "x".repeat(1 << 20);
+        let answer = rig.client().await.ask(&request("alarm", "r1", 6000, &long)).await;
+        assert_eq!(answer, (200, "own".to_string()));
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_end_that_never_comes_is_waited_for_no_longer_than_the_client_waits() {
+    for does in [Does::Answers(too_short("half")), Does::Rests(Duration::from_secs(6))] {
+        Rig::run(settings(), vec![does], async |rig| {
+            let from = tokio::time::Instant::now();
+            let (status, _) = rig.client().await.ask(&request("alarm", "r1", 500, "x")).await;
+            assert_eq!(status, 504);
+            assert!(from.elapsed() <= Duration::from_millis(500));
+        })
+        .await;
+    }
+}
