Hold a keyed repeat to its window when its bytes go, not when it is decided

Seen: with a window of 1000 ms and a connection that takes as long to come up, a keyed request whose first attempt was reset (it may have run) was sent again past the window (rig: the second connection comes up 1000 ms after the module's word). The same with a process that does not run between the hand-over to hyper and the first write, and with a body of 1 MiB whose upstream rests: its last byte, with which an attempt counts, came past the window.

Cause: `Balancer::may_go` looked at the window when it decided; `Pool::exchange` asked only `closed_from` and `live()` again, before `send_request`. From there the request goes through hyper's channel to the connection's task, and other tasks run in between.

Change: the module says with Action::Send until when its last byte must be out (`send_by`: the end of the window of each attempt that may have run, at most the request's time), the same figure that `may_go` goes by. A Moot counts as an attempt; with the window over the module sends no more, and fails the request (502) unless its group is all upstreams.

The policy's World checks send_by of every send in its rules and mechanism tests. The scanning oracle says the same figure.

--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -193,7 +193,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, server, timeout } => {
+                Action::Send { request, server, timeout, .. } => {
                     let Some(job) = self.jobs.get_mut(&request.0) else { continue };
                     job.out += 1;
                     let upstream = &self.server_names[server.0 as usize];
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -785,7 +785,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Send { request, server, timeout, send_by } => {
+                self.send(request, server, timeout, send_by);
+            }
             Action::Refuse { request, retry_after } => {
                 self.answer(request, Reply::Refused { retry_after });
                 self.forget(request);
@@ -824,18 +826,19 @@
         })
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, allow: Span) {
+    fn send(&mut self, id: RequestId, server: ServerId, allow: Span, send_by: Time) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         let (now, attempt) = (Instant::now(), held.attempts.len());
         let allowed =
             if allow.0 > 0 { now + Duration::from_micros(allow.0 as u64) } else { held.until };
-        let until = allowed.min(held.until);
+        let (until, send_by) = (allowed.min(held.until), self.clock.instant(send_by));
         let twice = held.out() > 0 && !self.second_copies;
         let target = self.upstreams.target(server);
         let mut tried = Try { server, sent: now, task: None };
-        let over = held.reply.is_none() || attempt >= self.max_attempts || now >= until;
+        let over =
+            held.reply.is_none() || attempt >= self.max_attempts || now >= until.min(send_by);
         let over = over || held.forward.is_spent();
-        let limit = Limit { until, answer: held.waits.saturating_sub(HEADROOM) };
+        let limit = Limit { until, send_by, answer: held.waits.saturating_sub(HEADROOM) };
         let (Some(target), false) = (target, over || twice) else {
             held.attempts.push(tried);
             self.later.push_back((id, attempt, Ended::bare(Outcome::Moot)));
@@ -846,7 +849,7 @@
         let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
         let (forward, live) = (held.forward.clone(), held.live.clone());
         tried.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let goes = || live.get() && permits.as_ref().is_none_or(|permits| permits());
+            let goes = move || live.get() && permits.as_ref().is_none_or(|permits| permits());
             let ended = pool.attempt(server, &target, &forward, limit, goes).await;
             let _ = notes.send(Note::Ended { id, attempt, ended });
         })));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,10 +24,13 @@
     written: Cell<u64>,
     /// The last write had to wait.
     blocked: Cell<bool>,
-    /// The next write fails if something unread has come before it.
-    first_look: Cell<bool>,
+    /// The next write fails if something unread has come before it, or it may not go any more.
+    first_look: RefCell<Option<Goes>>,
 }
 
+/// Whether a message may still go out.
+pub type Goes = Rc<dyn Fn() -> bool>;
+
 impl Traffic {
     pub fn read(&self) -> u64 {
         self.0.read.get()
@@ -43,9 +46,10 @@
         self.0.blocked.get()
     }
 
-    /// The next write is to fail if something waits to be read by then.
-    pub fn look_before_writing(&self) {
-        self.0.first_look.set(true);
+    /// The next write is to fail if something waits to be read by then, or the message does not go any more. Failure:
+    /// asked when the message was handed over, other tasks ran before its first byte was written.
+    pub fn look_before_writing(&self, goes: Goes) {
+        self.0.first_look.replace(Some(goes));
     }
 
     pub fn count_written(&self, bytes: usize) {
@@ -140,10 +144,11 @@
     /// Guards against bytes that came after the last look at the connection: what is there before a request
     /// is written cannot be its answer, but would be taken for it.
     fn look(&self) -> Result<()> {
-        if self.traffic.0.first_look.replace(false) && !self.inner.borrow().is_quiet() {
-            return Err(ErrorKind::ConnectionAborted.into());
+        let Some(goes) = self.traffic.0.first_look.take() else { return Ok(()) };
+        if goes() && self.inner.borrow().is_quiet() {
+            return Ok(());
         }
-        Ok(())
+        Err(ErrorKind::ConnectionAborted.into())
     }
 
     fn wrote(&self, wrote: Poll<Result<usize>>) -> Poll<Result<usize>> {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -22,7 +22,7 @@
 use crate::flow::{Flow, OnwardBody};
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::relay::{AnswerBody, Begun, Passing, begin};
-use crate::stream::{Tapped, Traffic, still_quiet};
+use crate::stream::{Goes, Tapped, Traffic, still_quiet};
 use crate::tasks::AbortOnDrop;
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
@@ -58,6 +58,8 @@
 pub struct Limit {
     /// All of it; of one whose body flows, until that begins to go out.
     pub until: Instant,
+    /// Until its last byte is out, unless its body flows: after that it would be no repeat any more.
+    pub send_by: Instant,
     /// From such a body's last byte to the answer.
     pub answer: Duration,
 }
@@ -244,26 +246,36 @@
         target: &Rc<Target>,
         forward: &Forward,
         limit: Limit,
-        live: impl Fn() -> bool,
+        live: impl Fn() -> bool + 'static,
     ) -> Ended {
-        let mut sent = Sent::default();
-        let ended = {
-            let exchange = self.exchange(server, target, forward, limit, live, &mut sent);
-            tokio::pin!(exchange);
-            loop {
-                match timeout_at(forward.until(limit), &mut exchange).await {
-                    Ok(ended) => break Some(ended),
-                    // A body that flows has moved it.
-                    Err(_) if Instant::now() < forward.until(limit) => {}
-                    Err(_) => break None,
+        let sent = Sent::default();
+        let of = target.clone();
+        let goes: Goes = Rc::new(move || {
+            let now = Instant::now();
+            now < limit.until.min(limit.send_by)
+                && of.closed_from.get().is_none_or(|from| now < from)
+                && live()
+        });
+        let exchange = self.exchange(server, target, forward, limit, goes, &sent);
+        tokio::pin!(exchange);
+        let until = || {
+            let waits = !forward.is_spent() && sent.never_whole();
+            let until = forward.until(limit);
+            if waits { until.min(limit.send_by) } else { until }
+        };
+        loop {
+            match timeout_at(until(), &mut exchange).await {
+                Ok(ended) => return ended,
+                // A body that flows has moved it, or the request is out by now.
+                Err(_) if Instant::now() < until() => {}
+                // Its upstream is not to blame for a short window.
+                Err(_) if sent.untouched() && Instant::now() < forward.until(limit) => {
+                    return Ended::bare(Outcome::Moot);
                 }
+                // Time ran out before all of it was handed over: it cannot have run.
+                Err(_) if sent.never_whole() => return Ended::bare(Outcome::ConnectFailed),
+                Err(_) => return Ended::bare(Outcome::Timeout),
             }
-        };
-        match ended {
-            Some(ended) => ended,
-            // Time ran out before all of it was handed over: it cannot have run.
-            None if sent.never_whole() => Ended::bare(Outcome::ConnectFailed),
-            None => Ended::bare(Outcome::Timeout),
         }
     }
 
@@ -273,8 +285,8 @@
         target: &Rc<Target>,
         forward: &Forward,
         limit: Limit,
-        live: impl Fn() -> bool,
-        sent: &mut Sent,
+        goes: Goes,
+        sent: &Sent,
     ) -> Ended {
         loop {
             let address = target.address.get();
@@ -285,9 +297,8 @@
                 None => self.connect(address).await,
             };
             let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
-            // The wait for a connection may outlast the request, or the grace of a drain.
-            let closed = target.closed_from.get().is_some_and(|from| Instant::now() >= from);
-            if closed || !live() {
+            // The wait for a connection may outlast the request, the grace of a drain, or a window.
+            if !goes() {
                 self.put(server, link);
                 return Ended::bare(Outcome::Moot);
             }
@@ -295,9 +306,11 @@
                 return Ended::bare(Outcome::Moot);
             };
             sent.start(&link.traffic);
-            link.traffic.look_before_writing();
+            link.traffic.look_before_writing(goes.clone());
             let answer = match link.sender.send_request(request).await {
                 Ok(answer) => answer,
+                // And so may the wait for its first byte to be written.
+                Err(_) if sent.untouched() && !goes() => return Ended::bare(Outcome::Moot),
                 // A kept connection that closed before a byte went out is no attempt yet.
                 Err(_) if reused && sent.untouched() && !forward.is_spent() => continue,
                 // Its client broke off, which says nothing of the upstream: that has no whole request.
@@ -386,27 +399,28 @@
 /// How much of a request was handed to the kernel.
 #[derive(Default)]
 struct Sent {
-    written: Option<(Traffic, u64)>,
+    written: RefCell<Option<(Traffic, u64)>>,
     /// Its head, and its body if that was here, have this many bytes at least.
-    size: u64,
-    flow: Option<Rc<Flow>>,
+    size: Cell<u64>,
+    flow: RefCell<Option<Rc<Flow>>>,
 }
 
 impl Sent {
-    fn start(&mut self, traffic: &Traffic) {
-        self.written = Some((traffic.clone(), traffic.written()));
+    fn start(&self, traffic: &Traffic) {
+        self.written.replace(Some((traffic.clone(), traffic.written())));
     }
     fn bytes(&self) -> u64 {
-        self.written.as_ref().map_or(0, |(traffic, from)| traffic.written() - from)
+        self.written.borrow().as_ref().map_or(0, |(traffic, from)| traffic.written() - from)
     }
     fn untouched(&self) -> bool {
         self.bytes() == 0
     }
     /// Its last byte is certainly not out; in doubt it is.
     fn never_whole(&self) -> bool {
-        let flows = self.flow.as_ref().is_some_and(|f| !f.is_whole());
-        let passed = self.flow.as_ref().map_or(0, |f| f.passed());
-        flows || self.bytes() < (self.size + passed).max(1)
+        let flow = self.flow.borrow();
+        let flows = flow.as_ref().is_some_and(|f| !f.is_whole());
+        let passed = flow.as_ref().map_or(0, |f| f.passed());
+        flows || self.bytes() < (self.size.get() + passed).max(1)
     }
 }
 
@@ -433,7 +447,7 @@
         self.flow().map_or(limit.until, |f| f.limit(limit.until, limit.answer))
     }
 
-    fn request(&self, limit: Limit, sent: &mut Sent) -> Option<Request<OnwardBody>> {
+    fn request(&self, limit: Limit, sent: &Sent) -> Option<Request<OnwardBody>> {
         let (body, left, size) = match &self.body {
             Onward::Whole(body) => {
                 let left = limit.until.saturating_duration_since(Instant::now());
@@ -450,8 +464,8 @@
         // Every name and value goes out with at least this much around it.
         let head: usize =
             request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-        sent.size = (head + size) as u64;
-        sent.flow = self.flow().cloned();
+        sent.size.set((head + size) as u64);
+        sent.flow.replace(self.flow().cloned());
         Some(request)
     }
 }
@@ -483,12 +497,13 @@
             headers: HeaderMap::new(),
             body: Onward::Whole(Bytes::from_static(b"0123456789")),
         };
-        let mut sent = Sent::default();
+        let sent = Sent::default();
         assert!(sent.untouched() && sent.never_whole(), "no connection yet");
         let traffic = Traffic::default();
         traffic.count_written(1000); // An earlier request on the same connection.
-        let limit = Limit { until: Instant::now(), answer: Duration::ZERO };
-        assert!(forward.request(limit, &mut sent).is_some());
+        let now = Instant::now();
+        let limit = Limit { until: now, send_by: now, answer: Duration::ZERO };
+        assert!(forward.request(limit, &sent).is_some());
         sent.start(&traffic);
         assert!(sent.untouched() && sent.never_whole());
         traffic.count_written(10);
--- a/crates/gateway/tests/attempts/main.rs
+++ b/crates/gateway/tests/attempts/main.rs
@@ -3,3 +3,4 @@
 
 mod answers;
 mod rig;
+mod window;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -575,6 +575,8 @@
         server: ServerId,
         /// Time-out of the attempt.
         timeout: Span,
+        /// Its last byte must be out by then, or none of it: an attempt that waits longer for its connection is moot.
+        send_by: Time,
     },
     /// End it unserved; it is harmless to come again.
     Refuse {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -665,6 +665,7 @@
     fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
         self.count_send(now, server);
         self.release(id);
+        let Some(send_by) = self.queue.get(id).map(|e| self.send_by(e)) else { return };
         let Some(e) = self.queue.get_mut(id) else { return };
         let (first, timeout) = (e.attempts.is_empty(), e.worth_until.since(now));
         e.attempts.push(Attempt::new(server, now));
@@ -673,7 +674,8 @@
         if first {
             self.extra = (self.extra + EXTRA).min(self.up.rooms[0].slots.max(1.0));
         }
-        out.push(Action::Send { request: id, server: self.up.servers[server].id, timeout });
+        let server = self.up.servers[server].id;
+        out.push(Action::Send { request: id, server, timeout, send_by });
     }
 
     /// The latest attempt is watched from now on, and takes a slot unless it has one.
@@ -712,31 +714,32 @@
     fn may_go(&self, now: Time, e: &Entry) -> bool {
         let limits = &self.settings.limits;
         let tried = e.spent || e.attempts.len() >= limits.max_attempts;
-        if e.ended || now >= e.drop_dead || tried {
+        if e.ended || now >= self.send_by(e) || tried {
             return false;
         }
         if e.out() && !limits.second_copies {
             return false;
         }
-        let class = &self.settings.classes[e.class];
-        match class.effect {
+        let bound = self.bound(e);
+        match self.settings.classes[e.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => e.all_never_ran(),
-            Effect::Keyed => {
-                let bound = self.bound(e);
-                e.attempts
-                    .iter()
-                    .filter(|a| a.fate != Fate::NeverRan)
-                    .all(|a| now.since(a.sent) < class.window && self.up.in_bound(bound, a.server))
-            }
+            Effect::Keyed => e.may_have_run().all(|a| self.up.in_bound(bound, a.server)),
         }
     }
 
+    /// Until when it may be sent, wherever its next attempt waits: a repeat is dropped only within the window
+    /// of each attempt that may have run.
+    fn send_by(&self, e: &Entry) -> Time {
+        let class = &self.settings.classes[e.class];
+        let keyed = e.may_have_run().filter(|_| class.effect == Effect::Keyed);
+        keyed.map(|a| a.sent.plus(class.window)).fold(e.drop_dead, Time::min)
+    }
+
     /// Where it may go: to its pod; once a keyed one may have run, only to those that drop its repeats.
     fn bound(&self, e: &Entry) -> Bound {
         let class = &self.settings.classes[e.class];
-        let ran = |a: &&Attempt| a.fate != Fate::NeverRan;
-        match e.attempts.iter().find(ran).map(|a| &self.up.servers[a.server]) {
+        match e.may_have_run().next().map(|a| &self.up.servers[a.server]) {
             Some(s) if class.effect == Effect::Keyed => match class.group {
                 Group::All => Bound::Any,
                 Group::Zone => Bound::Zone(s.zone),
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -237,7 +237,11 @@
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
     pub(crate) fn all_never_ran(&self) -> bool {
-        self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
+        self.may_have_run().next().is_none()
+    }
+    /// Those that are out, too.
+    pub(crate) fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| a.fate != Fate::NeverRan)
     }
 }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -323,7 +323,9 @@
         for action in std::mem::take(&mut self.actions) {
             self.log.push(action);
             match action {
-                Action::Send { request, server, timeout } => self.sent(request.0, server, timeout),
+                Action::Send { request, server, timeout, send_by } => {
+                    self.sent(request.0, server, timeout, send_by);
+                }
                 Action::Refuse { request, .. } => {
                     let class = &self.settings.classes[self.asked[&request.0].class];
                     let ran = self.asked[&request.0].tries.iter().any(may_have_run);
@@ -353,7 +355,7 @@
         asked.over = true;
     }
 
-    fn sent(&mut self, id: u64, server: ServerId, timeout: Span) {
+    fn sent(&mut self, id: u64, server: ServerId, timeout: Span, send_by: Time) {
         let asked = &self.asked[&id];
         assert!(!asked.over, "sent {id} after its end");
         assert!(self.now < asked.drop_dead && timeout.0 > 0);
@@ -378,6 +380,10 @@
             };
             assert!(allowed, "effect of {id} may happen twice");
         }
+        let ran = asked.tries.iter().filter(|t| may_have_run(t) && class.effect == Effect::Keyed);
+        let within = ran.map(|t| t.sent.plus(class.window)).all(|end| send_by <= end);
+        assert!(within, "{id} may go when its repeats are dropped no more");
+        assert!(self.now < send_by && send_by <= asked.drop_dead);
         self.check_turn_and_place(id, server);
         let sent = Try { server, sent: self.now, ended: None, ended_at: self.now };
         self.asked.get_mut(&id).expect("known").tries.push(sent);
--- a/crates/policy/tests/indexed.rs
+++ b/crates/policy/tests/indexed.rs
@@ -161,7 +161,7 @@
 
     fn obey(&mut self, action: Action) {
         match action {
-            Action::Send { request, server, timeout } => {
+            Action::Send { request, server, timeout, .. } => {
                 self.sends += 1;
                 let n = self.attempts.entry(request.0).or_default();
                 let takes = pick(&mut self.rng, &[0, 1, 2, 5, 5, 10, 20, 40, 100, 100_000]) * MS;
--- a/crates/policy/tests/scanning/policy.rs
+++ b/crates/policy/tests/scanning/policy.rs
@@ -12,6 +12,7 @@
 //! 7. What was decided anew since: means rest on their answers from the first on, unknown lanes are tried at once
 //!    and hoped for in admission, and nobody is refused while an upstream stands idle.
 //! 8. Warm upstreams of a kind that has served nothing yet count in the weight of all.
+//! 9. A send says until when it may go.
 //!
 //! The ordinary path is Ould Deye et al.'s: a first-come queue, at most `K_i = 2*TP_i/TS_i + 1` requests out
 //! per upstream, and refusal once queued plus in-flight reach the sum of `N_i = T_QoS / (2*TP_i + TS_i)`.
@@ -730,6 +731,7 @@
     fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
         self.count_send(now, server);
         self.count_level(now, server, None);
+        let Some(send_by) = self.requests.get(&id).map(|e| self.send_by(e)) else { return };
         let Some(e) = self.requests.get_mut(&id) else { return };
         e.held = false;
         let first = e.attempts.is_empty();
@@ -741,7 +743,8 @@
         if first {
             self.extra = (self.extra + EXTRA).min(self.rooms[0].slots.max(1.0));
         }
-        out.push(Action::Send { request: id, server: self.servers[server].id, timeout });
+        let server = self.servers[server].id;
+        out.push(Action::Send { request: id, server, timeout, send_by });
     }
 }
 
@@ -786,6 +789,13 @@
         }
     }
 
+    fn send_by(&self, e: &Entry) -> Time {
+        let class = &self.settings.classes[e.class];
+        let repeat = |a: &&Attempt| a.fate != Fate::NeverRan && class.effect == Effect::Keyed;
+        let ends = e.attempts.iter().filter(repeat).map(|a| a.sent.plus(class.window));
+        ends.chain([e.drop_dead]).min().unwrap_or(e.drop_dead)
+    }
+
     fn same_group(&self, group: Group, a: usize, b: usize) -> bool {
         let (a, b) = (&self.servers[a], &self.servers[b]);
         match group {
