Take no 200 that begins before a request's last byte is out for its answer

Seen: an upstream answers r1, and on the kept connection writes the same answer once more when the head of r2 has come, whose body of 1 MiB is still on its way. r2's client got r1's answer.

Cause: what comes before the first byte of a request is looked for (`Tapped::look`), what comes between its first byte and its last was not: hyper reads an answer's head as soon as the request's head is written, and `Pool::exchange` took it. For a request that is written at once there is no such time; a long one may wait for its upstream to read.

Change: the stream notes how much was written when something first came behind the look. A 200 that began while the request's lower bound was not written is no answer: the connection is dropped, and the attempt never ran if the last byte is not out by then, else it may have run (Reset). A 503 or 504 with X-Not-Run may come early, as before.

Left: a stray 200 that comes between the last look at the socket and the first write(2), or after the last byte and before the true answer, can't be told from an answer by anything on the wire.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,6 +26,8 @@
     blocked: Cell<bool>,
     /// The next write fails if something unread has come before it, or it may not go any more.
     first_look: RefCell<Option<Goes>>,
+    /// What was written by the time at which something came behind that look.
+    at_first_read: Cell<Option<u64>>,
 }
 
 /// Whether a message may still go out.
@@ -50,6 +52,12 @@
     /// asked when the message was handed over, other tasks ran before its first byte was written.
     pub fn look_before_writing(&self, goes: Goes) {
         self.0.first_look.replace(Some(goes));
+        self.0.at_first_read.set(None);
+    }
+
+    /// What was written by the time at which something came behind the last such look.
+    pub fn written_at_first_read(&self) -> Option<u64> {
+        self.0.at_first_read.get()
     }
 
     pub fn count_written(&self, bytes: usize) {
@@ -175,6 +183,9 @@
         ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf))?;
         let passed = &self.traffic.0.read;
         passed.set(passed.get() + (buf.filled().len() - before) as u64);
+        if buf.filled().len() > before && self.traffic.0.at_first_read.get().is_none() {
+            self.traffic.0.at_first_read.set(Some(self.traffic.written()));
+        }
         if let Some(head) = self.head.as_ref().filter(|_| buf.filled().len() > before) {
             head.keep(&buf.filled()[before..]);
             let waited = head.1.read(|| self.inner.borrow().since_last_bytes());
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -308,6 +308,16 @@
             sent.start(&link.traffic);
             link.traffic.look_before_writing(goes.clone());
             let answer = match link.sender.send_request(request).await {
+                // Its upstream has not begun: this is another's, or nobody's. Failure: a second answer that came
+                // while a long body was on its way was taken for its answer.
+                Ok(answer) if answer.status() == StatusCode::OK && sent.answered_early() => {
+                    let whole = !sent.never_whole();
+                    return Ended::bare(if whole {
+                        Outcome::Reset
+                    } else {
+                        Outcome::ConnectFailed
+                    });
+                }
                 Ok(answer) => answer,
                 // And so may the wait for its first byte to be written.
                 Err(_) if sent.untouched() && !goes() => return Ended::bare(Outcome::Moot),
@@ -415,6 +425,12 @@
     fn untouched(&self) -> bool {
         self.bytes() == 0
     }
+    /// Something came while its last byte was certainly not out.
+    fn answered_early(&self) -> bool {
+        let written = self.written.borrow();
+        let of = written.as_ref().and_then(|(t, from)| Some(t.written_at_first_read()? - from));
+        self.never_whole() || of.is_some_and(|bytes| bytes < self.size.get())
+    }
     /// Its last byte is certainly not out; in doubt it is.
     fn never_whole(&self) -> bool {
         let flow = self.flow.borrow();
--- a/crates/gateway/tests/attempts/answers.rs
+++ b/crates/gateway/tests/attempts/answers.rs
@@ -76,6 +76,45 @@
     }
 }
 
+/// An upstream begins a request with its last byte: what comes before that is nobody's answer.
+#[tokio::test(start_paused = true)]
+async fn what_comes_before_a_requests_last_byte_is_not_its_answer() {
+    let long = "x".repeat(1 << 20);
+    let does = vec![Does::Answers(ok("first")), Does::Early(ok("first"), ok("own"))];
+    Rig::run(settings(), does, async |mut rig| {
+        let mut client = rig.client().await;
+        let first = client.ask(&request("alarm", "r1", 6000, "x")).await;
+        assert_eq!(first, (200, "first".to_string()));
+        let (status, body) = client.ask(&request("alarm", "r2", 6000, &long)).await;
+        assert!(body != "first", "another request's answer");
+        // Cut off before its last byte it has not run, and goes again.
+        assert_eq!((status, body.as_str()), (200, "more"));
+        assert_eq!(rig.links.begun.get(), 2);
+        let seen = [rig.sees().await, rig.sees().await, rig.sees().await, rig.sees().await];
+        assert!(
+            matches!(seen, [Seen::Head(_), Seen::Whole, Seen::Head(_), Seen::Head(_)]),
+            "{seen:?}"
+        );
+        assert_eq!(rig.sees().await, Seen::Whole);
+    })
+    .await;
+}
+
+/// The same where the rest of the request is out by the time at which the answer is looked at: it may have run.
+#[tokio::test(start_paused = true)]
+async fn an_early_answer_to_what_is_whole_by_now_is_none_either() {
+    let long = "x".repeat(400 << 10);
+    let does = vec![Does::Answers(ok("first")), Does::Early(ok("first"), ok("own"))];
+    Rig::run(settings(), does, async |rig| {
+        let mut client = rig.client().await;
+        client.ask(&request("alarm", "r1", 6000, "x")).await;
+        let (status, body) = client.ask(&request("alarm", "r2", 6000, &long)).await;
+        assert!(body != "first", "another request's answer");
+        assert!(matches!(status, 200 | 502), "{status}");
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_upstream_may_turn_away_what_it_has_not_read() {
     let away = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
