Send to where an upstream is when the connection is up, not where it was

Seen: discovery tells another host_port of an upstream while an attempt waits for its connection (1000 ms in the test). The request went to the old address, where by then anybody may listen.

Cause: `Pool::exchange` read the target's address before it connected, and not again; kept connections were compared with it (`take`), new ones never.

Change: a connection whose address is not the target's any more is dropped, and the attempt looks for another within its time.

Test: listed.rs, red without the mend ("it was sent to where its upstream was"). Ruled out by the same rig and the node's older test: a drain told while the connection waits is obeyed.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -302,6 +302,10 @@
                 self.put(server, link);
                 return Ended::bare(Outcome::Moot);
             }
+            // And its upstream may have moved meanwhile: who is at its old address now is not known.
+            if link.address != target.address.get() {
+                continue;
+            }
             let Some(request) = forward.request(limit, sent) else {
                 return Ended::bare(Outcome::Moot);
             };
--- a/crates/gateway/tests/attempts/main.rs
+++ b/crates/gateway/tests/attempts/main.rs
@@ -2,5 +2,6 @@
 //! and the first byte, and between the first byte and the last of an answer.
 
 mod answers;
+mod listed;
 mod rig;
 mod window;
--- a/crates/gateway/tests/attempts/rig.rs
+++ b/crates/gateway/tests/attempts/rig.rs
@@ -23,6 +23,8 @@
 const BALANCER: &str = "10.0.0.1:80";
 const DISCOVERY: &str = "10.0.2.1:80";
 pub const UPSTREAM: &str = "10.0.1.1:80";
+/// Another that it may move to.
+pub const OTHER: &str = "10.0.1.2:80";
 /// Longest wait for what has to happen.
 const SOON: Duration = Duration::from_secs(60);
 
@@ -189,6 +191,7 @@
 pub struct Rig {
     pub links: Rc<Links>,
     pub seen: mpsc::UnboundedReceiver<Seen>,
+    list: mpsc::UnboundedSender<String>,
     client: Rc<dyn Network>,
 }
 
@@ -205,6 +208,13 @@
             let (tell, seen) = mpsc::unbounded_channel();
             let upstream = fabric.host(at(UPSTREAM).ip()).listen(at(UPSTREAM)).expect("free");
             spawn_local(listen(upstream, Rc::new(RefCell::new(does.into())), tell));
+            let discovery = fabric.host(at(DISCOVERY).ip()).listen(at(DISCOVERY)).expect("free");
+            let (list, lists) = mpsc::unbounded_channel();
+            spawn_local(watched(discovery, lists));
+            let other = fabric.host(at(OTHER).ip()).listen(at(OTHER)).expect("free");
+            let (there, _there) = mpsc::unbounded_channel();
+            let moved = VecDeque::from([Does::Answers(ok("moved"))]);
+            spawn_local(listen(other, Rc::new(RefCell::new(moved)), there));
             let file = json!({
                 "limits": {"sockets": 96}, "settings": settings, "seed": "1",
                 "known": {"revision": 1, "complete": true, "members": [{
@@ -227,7 +237,7 @@
             let provided = Provided::default();
             spawn_local(serve(config, network, listener, provided, reloads, stop));
             let client = fabric.host(IpAddr::from([10, 0, 3, 1]));
-            test(Rig { links, seen, client }).await;
+            test(Rig { links, seen, list, client }).await;
         };
         LocalSet::new().run_until(test).await;
     }
@@ -237,6 +247,14 @@
         Client(self.client.connect(at(BALANCER)).await.expect("it listens"))
     }
 
+    /// Has discovery say that the upstream is there, and in this phase.
+    pub fn lists(&self, address: &str, phase: &str) {
+        let list = json!({"revision": 2, "complete": false, "members": [{
+            "id": "s-0", "host_port": address, "locality": "a", "flavor": "m", "cell": 0,
+            "phase": phase, "size": 1.0, "up_since_ms": 0}]});
+        self.list.send(format!("{list}\n")).expect("discovery is there");
+    }
+
     /// What the upstream sees next.
     pub async fn sees(&mut self) -> Seen {
         timeout(SOON, self.seen.recv()).await.expect("in time").expect("the upstream")
@@ -259,6 +277,18 @@
     }
 }
 
+/// Discovery: says on a watch what there is to say.
+async fn watched(mut at: Box<dyn Listener>, mut lists: mpsc::UnboundedReceiver<String>) {
+    let (mut watch, _) = accept(&mut *at).await.expect("accepted");
+    head(&mut watch).await.expect("a call");
+    let begun = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    watch.write_all(begun.as_bytes()).await.expect("taken");
+    while let Some(list) = lists.recv().await {
+        let chunk = format!("{:x}\r\n{list}\r\n", list.len());
+        watch.write_all(chunk.as_bytes()).await.expect("taken");
+    }
+}
+
 async fn converse(
     mut stream: Box<dyn Stream>,
     does: Rc<RefCell<VecDeque<Does>>>,
