Keep no connection to an upstream that drains or is gone

Seen: a connection that came up past the grace of a drain was not sent on, and then kept as idle for up to three quarters of the upstream's own limit (45 s in the test's settings): a descriptor here and a place at an upstream that gets nothing more. The same for an answer whose drain is told while `keep` waits for the connection to be ready.

Cause: `Pool::exchange` put the link back whatever the target's state; `Pool::keep` looked at it before its wait of up to 10 ms, not after.

Change: `Pool::put` itself looks, which both go through.

The crossing inside `keep` is by reading, no test forces it.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -191,8 +191,11 @@
         None
     }
 
-    fn put(&self, server: ServerId, link: Link) {
-        self.idle.borrow_mut().entry(server).or_default().push(link);
+    /// Keeps it for the next request. To one that drains or is gone there will be none.
+    fn put(&self, server: ServerId, target: &Target, link: Link) {
+        if target.closed_from.get().is_none() {
+            self.idle.borrow_mut().entry(server).or_default().push(link);
+        }
     }
 
     /// Makes room for one more connection at the cost of the one that has idled longest.
@@ -299,7 +302,7 @@
             let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
             // The wait for a connection may outlast the request, the grace of a drain, or a window.
             if !goes() {
-                self.put(server, link);
+                self.put(server, target, link);
                 return Ended::bare(Outcome::Moot);
             }
             // And its upstream may have moved meanwhile: who is at its old address now is not known.
@@ -385,11 +388,9 @@
 
     /// Keeps a connection whose answer has come to its end for the next request, if it is of use.
     async fn keep(&self, server: ServerId, target: &Target, mut link: Link) {
-        // To one that drains or is gone nothing more will be sent.
-        let open = target.closed_from.get().is_none();
-        if open && let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
+        if let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
             link.idle_since = Instant::now();
-            self.put(server, link);
+            self.put(server, target, link);
         }
     }
 }
--- a/crates/gateway/tests/attempts/listed.rs
+++ b/crates/gateway/tests/attempts/listed.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use crate::rig::{OTHER, Rig, request, settings};
+use tokio::time::sleep;
 
-/// Longer than a watch takes to come up.
+use crate::rig::{OTHER, Rig, UPSTREAM, request, settings};
+
+/// Longer than a watch takes to come up, and than the grace of a drain.
 const LATE: Duration = Duration::from_millis(1000);
 
 #[tokio::test(start_paused = true)]
@@ -18,3 +20,17 @@
     })
     .await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_comes_up_past_the_grace_is_not_kept() {
+    Rig::run(settings(), vec![], async |mut rig| {
+        rig.links.late.borrow_mut().push_back(LATE);
+        rig.lists(UPSTREAM, "DRAINING");
+        let (status, _) = rig.client().await.ask(&request("alarm", "r1", 6000, "x")).await;
+        assert_eq!((status, rig.links.begun.get()), (503, 1));
+        assert!(rig.saw_nothing(), "it was sent all the same");
+        sleep(LATE).await;
+        assert_eq!(rig.links.open.get(), 0, "it idles at an upstream that gets nothing more");
+    })
+    .await;
+}
