--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -32,10 +32,15 @@
     written: Cell<u64>,
     /// The last write had to wait.
     blocked: Cell<bool>,
-    /// The next write fails if something unread has come before it.
-    first_look: Cell<bool>,
+    /// The next write fails if something unread has come before it, or it may not go any more.
+    first_look: RefCell<Option<Goes>>,
+    /// What was written by the time at which something came behind that look.
+    at_first_read: Cell<Option<u64>>,
 }
 
+/// Whether a message may still go out.
+pub type Goes = Rc<dyn Fn() -> bool>;
+
 impl Traffic {
     pub fn read(&self) -> u64 {
         self.0.read.get()
@@ -51,9 +56,16 @@
         self.0.blocked.get()
     }
 
-    /// The next write is to fail if something waits to be read by then.
-    pub fn look_before_writing(&self) {
-        self.0.first_look.set(true);
+    /// The next write is to fail if something waits to be read by then, or the message does not go any more. Failure:
+    /// asked when the message was handed over, other tasks ran before its first byte was written.
+    pub fn look_before_writing(&self, goes: Goes) {
+        self.0.first_look.replace(Some(goes));
+        self.0.at_first_read.set(None);
+    }
+
+    /// What was written by the time at which something came behind the last such look.
+    pub fn written_at_first_read(&self) -> Option<u64> {
+        self.0.at_first_read.get()
     }
 
     pub fn count_written(&self, bytes: usize) {
@@ -220,10 +232,11 @@
     /// Guards against bytes that came after the last look at the connection: what is there before a request
     /// is written cannot be its answer, but would be taken for it.
     fn look(&self) -> Result<()> {
-        if self.traffic.0.first_look.replace(false) && !self.inner.borrow().is_quiet() {
-            return Err(ErrorKind::ConnectionAborted.into());
+        let Some(goes) = self.traffic.0.first_look.take() else { return Ok(()) };
+        if goes() && self.inner.borrow().is_quiet() {
+            return Ok(());
         }
-        Ok(())
+        Err(ErrorKind::ConnectionAborted.into())
     }
 
     fn wrote(&self, wrote: Poll<Result<usize>>) -> Poll<Result<usize>> {
@@ -276,6 +289,9 @@
         }
         let passed = &self.traffic.0.read;
         passed.set(passed.get() + (buf.filled().len() - before) as u64);
+        if buf.filled().len() > before && self.traffic.0.at_first_read.get().is_none() {
+            self.traffic.0.at_first_read.set(Some(self.traffic.written()));
+        }
         if let Some(head) = self.head.as_ref().filter(|_| buf.filled().len() > before) {
             head.keep(&buf.filled()[before..]);
             let waited = head.1.read(|| self.inner.borrow().since_last_bytes());
