Hear the old watch until the new one has told: lists that were written to us were dropped

Seen over sockets: of a watch that had been replaced, for silence or at SIGHUP, nothing counted any more, also what was written to it before the new one had said a word (tests/node/watches.rs: "b is not heard of", "c is not heard of"). Seen on the simulated network: news that a silent watch missed was in force after 3420 to 3839 ms, and where lists are pushed a silent watch was waited on for ever (crates/gateway/tests/discovery.rs failed on the engine before).

At fault: engine.rs, `subscribe` (replaced the watch and with it what was unread, or a call that still waited for its turn), `take` (dropped notes of an older serial), `moved` and `heard` (counted versions anew before, or whenever, a watch's first list came, so that an older list undid a newer one's news); discovery.rs, `follow` (no silence for pushed lists; a connect and an answer of 3 s each behind 3.5 s of silence).

Now: the engine keeps the watch that stands until the one being opened has told its first list, and opens one at a time. What any of them tells counts, unless another discovery's versions have begun to count since. Versions count anew when discovery has moved, or when it answers with a whole list older than what it was asked for. A list from another than the watch that stands says nothing of the subscription. One clock of silence (asking::SILENCE) for calls and watches, pushed or asked for; the agent is called again at once, and every 100 ms at most.

Not run: 200 repeats of the new tests.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,8 +6,10 @@
 
 use bytes::Bytes;
 use hollowpaddle_net::Network;
+use hollowpaddle_policy::asking;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
@@ -16,17 +18,16 @@
 use crate::objects::{ObjectError, Objects};
 use crate::tasks::AbortOnDrop;
 
-/// A watch says something every 2 s; without a word for this long it is dead, though nothing told so (a
-/// machine that is cut off sends no reset). News counts as told after 6 s, heard or not: the next call must
-/// fit in before that.
-const SILENCE: Duration = Duration::from_millis(3500);
-/// A call that waits for its turn longer than this has failed.
-const CALL: Duration = Duration::from_millis(3000);
+/// Without a word for so long a watch or a call is dead, though nothing told so (a machine that is cut off sends no
+/// reset).
+const SILENCE: Duration = Duration::from_micros(asking::SILENCE.0 as u64);
 
 /// What a watch tells.
 pub enum News {
     /// The list, or a change to it.
     List(List),
+    /// It has fallen silent. Whatever it says after all is told.
+    Silent,
     /// The watch is over; nothing more comes from it.
     Ended,
 }
@@ -55,10 +56,9 @@
     network: Rc<dyn Network>,
     address: SocketAddr,
     revision: u64,
-    beats: bool,
     tell: impl Fn(News),
 ) {
-    if let Err(cause) = follow(&*network, address, revision, beats, &tell).await {
+    if let Err(cause) = follow(&*network, address, revision, &tell).await {
         tracing::info!(%cause, revision, "watch over");
     }
     tell(News::Ended);
@@ -68,33 +68,56 @@
     network: &dyn Network,
     address: SocketAddr,
     revision: u64,
-    beats: bool,
     tell: &impl Fn(News),
 ) -> Result<(), WatchError> {
-    let stream = timeout(CALL, network.connect(address)).await??;
+    // Connecting and waiting for the answer share one time: they would not fit in one after the other.
+    let call = timeout(SILENCE, call(network, address, revision)).await;
+    let (mut body, _connection) = call??;
+    let (mut objects, mut told, mut silent) = (Objects::default(), false, false);
+    loop {
+        let frame = if silent {
+            body.frame().await
+        } else {
+            match timeout(SILENCE, body.frame()).await {
+                Ok(frame) => frame,
+                // One that never told anything is of no use to anybody.
+                Err(elapsed) if !told => return Err(elapsed.into()),
+                Err(_) => {
+                    tracing::info!(revision, "watch silent");
+                    silent = true;
+                    tell(News::Silent);
+                    continue;
+                }
+            }
+        };
+        let frame = frame.ok_or(WatchError::Ended)??;
+        let Ok(data) = frame.into_data() else { continue };
+        // White space between objects is a heartbeat.
+        objects.take(&data, |list| {
+            told = true;
+            tell(News::List(list));
+        })?;
+    }
+}
+
+/// Asks for what follows this version; what is answered, and the task that reads it.
+async fn call(
+    network: &dyn Network,
+    address: SocketAddr,
+    revision: u64,
+) -> Result<(Incoming, AbortOnDrop), WatchError> {
+    let stream = network.connect(address).await?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = AbortOnDrop(tokio::task::spawn_local(async move {
+    let connection = AbortOnDrop(tokio::task::spawn_local(async move {
         let _ = connection.await;
     }));
     let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(CALL, sender.send_request(request)).await??;
+    let response = sender.send_request(request).await?;
     if !response.status().is_success() {
         return Err(WatchError::Status(response.status()));
     }
-    let mut body = response.into_body();
-    let mut objects = Objects::default();
-    loop {
-        let frame = if beats {
-            timeout(SILENCE, body.frame()).await?
-        } else {
-            body.frame().await // An agent is silent while discovery is down.
-        };
-        let frame = frame.ok_or(WatchError::Ended)??;
-        let Ok(data) = frame.into_data() else { continue };
-        // White space between objects is a heartbeat.
-        objects.take(&data, |list| tell(News::List(list)))?;
-    }
+    Ok((response.into_body(), connection))
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -45,8 +45,9 @@
 const SUBSET_EVERY: Duration = Duration::from_secs(1);
 /// Discovery is asked on other balancers' word this often at most: calls are paid for by all.
 const ASK_LIST: Duration = Duration::from_secs(2);
-/// Wait before a pushed list is watched again; the agent is on this machine and answers at no cost.
-const REWATCH: Duration = Duration::from_millis(500);
+/// Calls for a pushed list are so far apart at least: the agent is on this machine and answers at no cost, but one that
+/// ends each watch at once must not be called without end. What it has counts as told meanwhile.
+const REWATCH: Duration = Duration::from_millis(100);
 
 /// Why there can be no engine.
 #[derive(Debug, thiserror::Error)]
@@ -290,6 +291,17 @@
 /// An event of the engine's own making, told once the present actions are carried out.
 type Later = (RequestId, usize, Ended);
 
+/// A watch on the list, or the call for one.
+struct Watch {
+    serial: u64,
+    /// What follows this version was asked for.
+    from: u64,
+    opened: Instant,
+    /// As far as is known it tells all that discovery has.
+    sound: bool,
+    _task: AbortOnDrop,
+}
+
 pub struct Engine {
     balancer: Balancer,
     clock: Clock,
@@ -309,10 +321,16 @@
     heard: Rc<Cell<bool>>,
     discovery: SocketAddr,
     revision: u64,
-    watch: Option<AbortOnDrop>,
-    watch_serial: u64,
-    /// The watch has told nothing yet.
-    watch_new: bool,
+    /// The watch that told the last first list. It is kept until the next one has told its own.
+    standing: Option<Watch>,
+    /// The one that has told nothing yet.
+    opening: Option<Watch>,
+    /// The last watch that was opened.
+    serial: u64,
+    /// Versions are those of the watches from this one on.
+    counted_from: u64,
+    /// Discovery has moved, and nothing was told from there yet: versions are those of the last one.
+    elsewhere: bool,
     must_ask: bool,
     second_copies: bool,
     max_attempts: usize,
@@ -389,9 +407,11 @@
             heard,
             discovery: config.discovery,
             revision: 0,
-            watch: None,
-            watch_serial: 0,
-            watch_new: false,
+            standing: None,
+            opening: None,
+            serial: 0,
+            counted_from: 0,
+            elsewhere: false,
             must_ask,
             second_copies,
             max_attempts,
@@ -445,6 +465,7 @@
             match due {
                 Due::Token(token) => self.tell(Event::Timer(token)),
                 Due::Deadline(id) => self.overdue(id),
+                Due::Watch if self.is_vouched() => {}
                 Due::Watch => self.subscribe(),
                 Due::Subset => self.look_at_subset(),
             }
@@ -473,8 +494,7 @@
                 self.ended(id, attempt, ended);
                 self.catch_up();
             }
-            Note::Watched { serial, news } if serial == self.watch_serial => self.heard(news),
-            Note::Watched { .. } => {}
+            Note::Watched { serial, news } => self.heard(serial, news),
             Note::Moved(discovery) => self.moved(discovery),
             Note::Part if !self.telling.is_due() => {}
             Note::Part => {
@@ -489,8 +509,7 @@
                 }
             },
             Note::Listed { from, reply } => {
-                let vouched = self.watch.is_some() && !self.watch_new;
-                let _ = reply.send((self.upstreams.part(from), vouched));
+                let _ = reply.send((self.upstreams.part(from), self.is_vouched()));
             }
             Note::HasNamed { name, reply } => drop(reply.send(self.upstreams.has_named(&name))),
             Note::Cordoned { names, done } => {
@@ -603,27 +622,76 @@
         }
     }
 
-    fn heard(&mut self, news: News) {
+    fn heard(&mut self, serial: u64, news: News) {
+        let is = |watch: &Option<Watch>| watch.as_ref().is_some_and(|w| w.serial == serial);
         match news {
-            News::List(list) => {
-                // Asked for what follows our version, a discovery that counts in another way, as one does
-                // that began anew, says all that it has. Its versions are the ones that count from here.
-                if std::mem::take(&mut self.watch_new) && list.complete {
-                    self.upstreams.count_anew();
-                    self.bank.iter().for_each(|bank| bank.heard(Listed::CountsAnew));
+            News::List(list) => self.told(serial, &list),
+            News::Silent => {
+                if let Some(watch) = self.standing.as_mut().filter(|w| w.serial == serial)
+                    && std::mem::take(&mut watch.sound)
+                    && self.opening.is_none()
+                {
+                    self.unwatched(None);
                 }
-                self.heard.set(true);
-                let whole = list.complete;
-                self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
             }
-            News::Ended => {
-                self.watch = None;
-                if self.must_ask {
-                    self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
-                } else {
-                    self.timers.push(Reverse((Instant::now() + REWATCH, Due::Watch)));
+            News::Ended if is(&self.opening) => {
+                let call = self.opening.take();
+                if !self.is_vouched() {
+                    self.unwatched(call);
                 }
             }
+            News::Ended if is(&self.standing) => {
+                let sound = self.standing.take().is_some_and(|w| w.sound);
+                // Of one that was silent before it is known already.
+                if sound && self.opening.is_none() {
+                    self.unwatched(None);
+                }
+            }
+            News::Ended => {}
+        }
+    }
+
+    /// A watch has told a list. It was written to this balancer, and counts as told, also if the watch was replaced since.
+    fn told(&mut self, serial: u64, list: &List) {
+        // Its versions can't be held against those of the discovery that has spoken since.
+        if serial < self.counted_from {
+            return;
+        }
+        if let Some(watch) = self.opening.take_if(|w| w.serial == serial) {
+            // Asked for what follows a version, a discovery that counts in another way, as one does that began anew, says
+            // all that it has. Its versions are the ones that count from here. Failure: the first list of each watch counted
+            // anew, and one that had been overtaken by another watch's undid the news of that.
+            if std::mem::take(&mut self.elsewhere) || list.complete && list.revision < watch.from {
+                self.counted_from = serial;
+                self.upstreams.count_anew();
+                self.bank.iter().for_each(|bank| bank.heard(Listed::CountsAnew));
+            }
+            self.standing = Some(watch);
+        }
+        self.heard.set(true);
+        // What comes from another than the watch that stands says nothing of the subscription.
+        let sound = self.standing.as_ref().is_some_and(|w| w.serial == serial && w.sound);
+        let kind = match (sound, list.complete) {
+            (true, true) => ListKind::Whole,
+            (true, false) => ListKind::Update,
+            (false, true) => ListKind::Restored,
+            (false, false) => ListKind::Aside,
+        };
+        self.listed(list, kind);
+    }
+
+    /// Whether a watch stands that tells all that discovery has.
+    fn is_vouched(&self) -> bool {
+        self.standing.as_ref().is_some_and(|w| w.sound)
+    }
+
+    /// No watch stands, and none is being opened; the last call for one may have failed.
+    fn unwatched(&mut self, call: Option<Watch>) {
+        if self.must_ask {
+            self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
+        } else {
+            let at = call.map_or(Instant::now(), |call| call.opened + REWATCH);
+            self.timers.push(Reverse((at, Due::Watch)));
         }
     }
 
@@ -651,8 +719,8 @@
 
     /// Another balancer has a newer list: discovery is asked, but not again and again where it is behind for long.
     fn ask_list(&mut self) {
-        // A watch that has told nothing yet is asking already. Failure: at a start each balancer opened a second one.
-        if self.watch.is_some() && self.watch_new {
+        // Failure: at a start each balancer opened a second one.
+        if self.opening.is_some() {
             return;
         }
         let now = Instant::now();
@@ -745,21 +813,28 @@
         }
         tracing::info!(%discovery, "discovery moved");
         self.discovery = discovery;
-        // Another agent counts in its own way: asked for what follows our revision, it could keep silent
-        // about all that it has. From 0 on it tells everything.
-        self.revision = 0;
-        self.upstreams.count_anew();
+        // Until the new one speaks, what the old one has said and says counts.
+        self.elsewhere = true;
+        self.standing.iter_mut().for_each(|watch| watch.sound = false);
+        self.opening = None;
         self.subscribe();
     }
 
+    /// Opens a watch, unless one is being opened: how that ends is always told. Failure: a call that had waited long for
+    /// its turn was dropped for a new one, and the list that it would have told with it.
     fn subscribe(&mut self) {
-        self.watch_serial += 1;
-        self.watch_new = true;
-        let (serial, notes) = (self.watch_serial, self.own_notes.clone());
+        if self.opening.is_some() {
+            return;
+        }
+        self.serial += 1;
+        let (serial, notes) = (self.serial, self.own_notes.clone());
         let tell = move |news| drop(notes.send(Note::Watched { serial, news }));
-        let network = self.network.clone();
-        let watch = discovery::watch(network, self.discovery, self.revision, self.must_ask, tell);
-        self.watch = Some(AbortOnDrop(tokio::task::spawn_local(watch)));
+        // Another discovery counts in its own way: asked for what follows our version, it could keep silent about all
+        // that it has. From 0 on it tells everything.
+        let from = if self.elsewhere { 0 } else { self.revision };
+        let watch = discovery::watch(self.network.clone(), self.discovery, from, tell);
+        let _task = AbortOnDrop(tokio::task::spawn_local(watch));
+        self.opening = Some(Watch { serial, from, opened: Instant::now(), sound: true, _task });
     }
 
     /// Tells the module, and carries out what it says until nothing is left to tell.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -276,14 +276,18 @@
         self.lists += 1;
         let older = list.revision < self.newest;
         self.newest = self.newest.max(list.revision);
-        let kind = if older { ListKind::Update } else { kind };
+        let kind = match kind {
+            ListKind::Restored if older => ListKind::Aside,
+            ListKind::Whole if older => ListKind::Update,
+            kind => kind,
+        };
         if older {
             let (newest, revision) = (self.newest, list.revision);
             tracing::warn!(newest, revision, "a list out of its order");
         }
         let closed_from = now + self.grace;
         let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
-        if kind != ListKind::Update {
+        if !kind.is_part() {
             // What a whole list leaves out is gone, and so is whoever an older one names alone.
             for known in self.targets.values_mut() {
                 known.gone = true;
--- a/tests/node/watches.rs
+++ b/tests/node/watches.rs
@@ -1,6 +1,6 @@
 //! Watches on the list: however it is written, whenever they fall silent, end or are opened anew.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::Instant;
 
 use crate::start;
@@ -64,3 +64,63 @@
     chunk(&mut watch, &text);
     served_by(&mut client, "b");
 }
+
+#[test]
+fn a_silent_watch_is_opened_anew_and_heard_until_the_new_one_has_told() {
+    for mode in ["subscribe", "automatic"] {
+        let [a, b, c, d] = ["a", "b", "c", "d"].map(|name| Upstream::start(move |_| ok(name)));
+        let mut config = config(members(&[&a]));
+        config["settings"]["RegistryMode"] = json!(mode);
+        let node = start(&config);
+        let mut client = node.client();
+        let (_, mut first) = node.discovery.watch();
+        chunk(&mut first, &at(43, false, &b).to_string());
+        served_by(&mut client, "b");
+        // Held open and silent, as by a machine that was cut off.
+        let (call, mut second) = node.discovery.watch();
+        assert_eq!(call, "GET /api/targets?stream=1&index=43 HTTP/1.1");
+        // What was under way on the first one comes after all.
+        chunk(&mut first, &at(45, false, &c).to_string());
+        served_by(&mut client, "c");
+        // Overtaken by that, as another replica has it. It is the same discovery, and nothing is undone.
+        chunk(&mut second, &at(44, true, &a).to_string());
+        first.set_read_timeout(Some(SOON)).expect("a time");
+        assert_eq!(first.read(&mut [0]).unwrap_or(0), 0, "the first is let go");
+        for _ in 0..4 {
+            assert_eq!(client.ask(&read("r2", 5000)).body, b"c", "{mode}");
+        }
+        chunk(&mut second, &at(46, false, &d).to_string());
+        served_by(&mut client, "d");
+    }
+}
+
+#[test]
+fn at_a_reload_the_old_discovery_counts_until_the_new_one_has_spoken() {
+    let [a, b, c, d] = ["a", "b", "c", "d"].map(|name| Upstream::start(move |_| ok(name)));
+    let mut config = config(members(&[&a]));
+    let node = start(&config);
+    let mut client = node.client();
+    let (_, mut first) = node.discovery.watch();
+    chunk(&mut first, &at(42, true, &a).to_string());
+    served_by(&mut client, "a");
+    let moved = Discovery::start();
+    config["discovery"] = json!(moved.address.to_string());
+    node.reconfigure(&config.to_string());
+    let (call, second) = moved.watch();
+    assert_eq!(call, "GET /api/targets?stream=1&index=0 HTTP/1.1");
+    chunk(&mut first, &at(43, false, &b).to_string());
+    served_by(&mut client, "b");
+    // The new one fails before its first word.
+    drop(second);
+    let (call, mut second) = moved.watch();
+    assert_eq!(call, "GET /api/targets?stream=1&index=0 HTTP/1.1", "nothing is known of it");
+    chunk(&mut first, &at(44, false, &c).to_string());
+    served_by(&mut client, "c");
+    // From its first word on its versions count, lower or not, and nothing that the old one says.
+    chunk(&mut second, &at(7, true, &d).to_string());
+    served_by(&mut client, "d");
+    first.set_read_timeout(Some(SOON)).expect("a time");
+    assert_eq!(first.read(&mut [0]).unwrap_or(0), 0, "the old one is let go");
+    chunk(&mut second, &at(8, false, &a).to_string());
+    served_by(&mut client, "a");
+}
