Test what becomes of attempts whose connections come up late or never

Ruled out by these: a request whose client left while its connection came up is sent on (it is not, and the connection serves the next request); a connection that is given up keeps its descriptor (it gives it back).

No code is changed, so neither is red without a mend of this commit.

--- a/crates/gateway/tests/attempts/main.rs
+++ b/crates/gateway/tests/attempts/main.rs
@@ -2,6 +2,7 @@
 //! and the first byte, and between the first byte and the last of an answer.
 
 mod answers;
+mod connects;
 mod listed;
 mod rig;
 mod window;
