Teach our judge the new terms: cold sums, told clock, leaving clients, shutdowns, floors

- Cold: the sum of all balancers against N + 2 x root of N + 2 requests of the mean work, N being what the settings allow at that age, whatever the node has warmed to by work.
The largest request counts as one of the mean at most.
Stand-ins fall at the same bound of what they can do.
- Told: a change counts as told 6 s after the list had it and could be reached, whatever calls failed; anew after the list was down or cut, a freeze, a start.
The old rule holds beside it.
- Shutdown: a request that was read and sent on from a kept connection, which then closed with no answer, is lost, though its client asked once more or found nobody.
Not seen before.
What can be had is reckoned from nodes' capacity over the work asked; the reading is written at the head of floors.rs.

The scripted balancer ends in order when it is asked to; the broken one ends at once.

--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod drains;
 pub mod fleet;
+mod floors;
 pub mod report;
 mod requests;
 mod service;
@@ -21,6 +22,7 @@
 use hollowpaddle_day::record::{At, Line, Seen};
 use hollowpaddle_day::scenario::Scenario;
 
+pub use floors::Floor;
 pub use service::{ClassService, Counts, Service};
 pub use sessions::{Run, Sessions, Twice};
 
@@ -36,6 +38,10 @@
     ForeignAnswer,
     /// Rule 1: an attempt after the final answer.
     SentAfterAnswer,
+    /// Rule 1: attempts that began after their clients had gone, beyond the first ones.
+    SentAfterLeaving,
+    /// Rule 1: too many of the requests that waited as their clients left were sent on all the same.
+    SentForNobody,
     /// Rule 1: the balancer ended by itself.
     Crashed,
     /// Rule 2: an unsafe request was sent again after an attempt that may have run.
@@ -66,6 +72,8 @@
             | Breach::AnsweredTwice
             | Breach::ForeignAnswer
             | Breach::SentAfterAnswer
+            | Breach::SentAfterLeaving
+            | Breach::SentForNobody
             | Breach::Crashed => 1,
             Breach::ResentUnsafe
             | Breach::ResentElsewhere
@@ -86,6 +94,8 @@
             Breach::AnsweredTwice => "answered-twice",
             Breach::ForeignAnswer => "foreign-answer",
             Breach::SentAfterAnswer => "sent-after-answer",
+            Breach::SentAfterLeaving => "sent-after-leaving",
+            Breach::SentForNobody => "sent-for-nobody",
             Breach::Crashed => "crashed",
             Breach::ResentUnsafe => "resent-unsafe",
             Breach::ResentElsewhere => "resent-elsewhere",
@@ -142,6 +152,8 @@
     pub findings: Vec<Finding>,
     /// How clients were served.
     pub service: Service,
+    /// What had to be served at least, and was or was not.
+    pub floors: Vec<Floor>,
     /// How vans fared, on a day that has some.
     pub sessions: Option<Sessions>,
 }
@@ -155,7 +167,8 @@
     cold::judge(&case, &mut findings);
     crashes(&case, &mut findings);
     findings.sort_by_key(|f| (f.at, f.breach, f.request));
-    Verdict { findings, service: service::reckon(&case), sessions: sessions::of(&case) }
+    let (service, floors) = (service::reckon(&case), floors::of(&case));
+    Verdict { findings, service, floors, sessions: sessions::of(&case) }
 }
 
 /// What is judged.
--- a/crates/judge/src/report.rs
+++ b/crates/judge/src/report.rs
@@ -7,7 +7,7 @@
 
 use crate::bank::{self, Bank};
 use crate::fleet::{Account, account};
-use crate::{Breach, Exactness, Finding, Service, Sessions, Verdict, judge};
+use crate::{Breach, Exactness, Finding, Floor, Service, Sessions, Verdict, judge};
 use hollowpaddle_day::record::{Line, Played, Resources, Seen, digest};
 use hollowpaddle_day::scenario::Expect;
 
@@ -49,6 +49,8 @@
     pub resources: Vec<Option<Resources>>,
     /// Cold nodes that fell over, whoever pushed them.
     pub tipped: Vec<usize>,
+    /// What had to be served at least, and was or was not.
+    pub floors: Vec<Floor>,
     /// How vans fared, on a day that has some.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub sessions: Option<Sessions>,
@@ -64,7 +66,7 @@
     pub fn of(played: &Played) -> Self {
         let scenario = &played.scenario;
         let exact = if played.simulated { Exactness::simulated(scenario) } else { Exactness::LIVE };
-        let Verdict { findings, service, sessions } =
+        let Verdict { findings, service, floors, sessions } =
             judge(scenario, &played.plan, &played.trace, exact);
         let mut breaches = BTreeMap::new();
         for finding in &findings {
@@ -89,6 +91,7 @@
             findings,
             resources: played.resources.clone(),
             tipped: played.trace.iter().filter_map(tipped).collect(),
+            floors,
             sessions,
             bank: bank::of(played, exact.slack.as_secs_f64()),
             account: None,
@@ -114,6 +117,11 @@
         self.account.as_ref().map_or(&[], |a| &a.missed)
     }
 
+    /// The floors that were missed.
+    pub fn under(&self) -> impl Iterator<Item = &Floor> {
+        self.floors.iter().filter(|f| f.is_missed())
+    }
+
     /// Whether no rule was broken.
     pub fn is_clean(&self) -> bool {
         self.findings.is_empty()
@@ -198,6 +206,9 @@
             n.turned_away,
             self.tipped.len()
         )?;
+        for floor in self.under() {
+            writeln!(out, "UNDER ITS FLOOR {}", floor.text())?;
+        }
         for (i, used) in self.resources.iter().enumerate() {
             if let Some(r) = used {
                 let (mib, cpu) = (r.memory_kib as f64 / 1024.0, r.cpu_ms as f64 / 1e3);
--- a/crates/rehearsal/src/bank.rs
+++ b/crates/rehearsal/src/bank.rs
@@ -531,8 +531,7 @@
             "Streaming": false,
         })
     };
-    let cold = kinds.iter().map(|k| k.cold).max().unwrap_or_default();
-    let cold_from = kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min);
+    let (cold_from, cold) = scenario.told_of_cold();
     json!({
         "Balancers": scenario.bank.count,
         "Position": balancer,
--- a/crates/rehearsal/tests/broken_balancers.rs
+++ b/crates/rehearsal/tests/broken_balancers.rs
@@ -153,6 +153,88 @@
     assert_eq!(others, 0, "{}", report.text());
 }
 
+/// The short day, with some of its lines changed.
+fn changed(lines: &[(&str, &str)]) -> Scenario {
+    let mut day = DAY.to_string();
+    for (from, to) in lines {
+        assert!(day.contains(from), "{from}");
+        day = day.replacen(from, to, 1);
+    }
+    Scenario::read("changed.toml", &day).expect("a sound scenario")
+}
+
+/// What the judge says of the correct balancer and of a broken one on such a day.
+fn both(fault: Fault, day: &Scenario) -> [Report; 2] {
+    [Fault::None, fault]
+        .map(|f| Report::of(&play_virtual(day, 5, Rc::new(Scripted(f))).expect("it plays")))
+}
+
+/// The correct one passes, and the broken one is caught under these names and no other.
+fn caught(fault: Fault, day: &Scenario, names: &[Breach]) {
+    let [well, broken] = both(fault, day);
+    assert!(well.is_clean(), "{}", well.text());
+    let found: Vec<&str> = broken.breaches.keys().copied().collect();
+    let names: Vec<&str> = names.iter().map(|b| b.name()).collect();
+    assert_eq!(found, names, "{}", broken.text());
+}
+
+#[test]
+fn one_request_each_from_a_whole_bank_pushes_a_cold_node_over() {
+    // A fifth of a core of a tenth: N is 5 requests in 2 s, and 40 balancers know of each start.
+    let day = changed(&[
+        ("speed = 1.5\ncores = 2", "speed = 0.5\ncores = 1"),
+        ("cold_from = 0.2", "cold_from = 0.05"),
+        ("count = 2", "count = 40"),
+        ("of_capacity = 0.3", "of_capacity = 1.0"),
+    ]);
+    caught(Fault::OneEach, &day, &[Breach::PushedOver]);
+}
+
+#[test]
+fn who_sends_on_for_clients_that_have_gone_is_caught() {
+    let day = changed(&[("[load]", "[clients]\nleave_share = 0.4\n\n[load]")]);
+    let names = [Breach::SentAfterLeaving, Breach::SentForNobody];
+    caught(Fault::HoldsForTheGone, &day, &names);
+    let day = changed(&[
+        ("[load]", "[clients]\nleave_share = 0.4\n\n[load]"),
+        ("error_rate = 0.02", "error_rate = 0.2"),
+    ]);
+    caught(Fault::RetriesForTheGone, &day, &[Breach::SentAfterLeaving]);
+}
+
+#[test]
+fn who_asks_the_list_no_more_is_caught_by_the_clock_alone() {
+    // By what the settings say of asking it would have all day.
+    let day = changed(&[
+        ("ask_every_ms = 2000", "ask_every_ms = 60000"),
+        ("start_s = 3\nlength_s = 5", "start_s = 3\nlength_s = 10"),
+    ]);
+    caught(Fault::StopsAsking, &day, &[Breach::SentToDrained]);
+}
+
+#[test]
+fn who_ends_with_requests_in_hand_has_lost_them() {
+    let restart =
+        "[[faults]]\nkind = \"balancer-restart\"\nstart_s = 6\nlength_s = 1\nshare = 1.0\n\n";
+    let day = changed(&[(
+        "[[faults]]\nkind = \"drain\"",
+        &format!("{restart}[[faults]]\nkind = \"drain\""),
+    )]);
+    caught(Fault::EndsAtOnce, &day, &[Breach::Lost]);
+}
+
+#[test]
+fn a_class_or_a_third_of_the_day_that_is_not_served_is_under_its_floor() {
+    let day = changed(&[]);
+    for (fault, floor) in [(Fault::ShutsOutAClass, "log"), (Fault::TiresOfWork, "third 3")] {
+        let [well, broken] = both(fault, &day);
+        let under = |r: &Report| r.under().map(|f| f.of.clone()).collect::<Vec<_>>();
+        assert_eq!(under(&well), Vec::<String>::new(), "{}", well.text());
+        assert_eq!(under(&broken), [floor], "{}", broken.text());
+        assert!(broken.is_clean() && broken.text().contains("UNDER ITS FLOOR"));
+    }
+}
+
 #[test]
 fn the_same_seed_is_the_same_run_on_any_thread() {
     let run = || std::thread::spawn(|| play(Fault::TriesTooOften).trace_digest);
