--- a/crates/judge/src/requests.rs
+++ b/crates/judge/src/requests.rs
@@ -181,7 +181,8 @@
 ) {
     let (mut late, mut waited, mut for_nobody) = (Vec::new(), 0, Vec::new());
     for (request, story) in stories {
-        let Some((left, End::Left | End::GaveUp)) = story.end else { continue };
+        // Whose time was up has lost its request, which is told as that.
+        let Some((left, End::Left)) = story.end else { continue };
         // Who is frozen hears of it once it is thawed.
         let heard = |a: &Attempt| {
             let pauses = lives.get(&(a.balancer, a.start)).map_or(&[][..], |l| &l.pauses[..]);
