--- a/crates/gateway/tests/attempts/rig.rs
+++ b/crates/gateway/tests/attempts/rig.rs
@@ -131,6 +131,9 @@
     fn is_quiet(&self) -> bool {
         self.inner.is_quiet()
     }
+    fn has_ended(&self) -> bool {
+        self.inner.has_ended()
+    }
     fn since_last_bytes(&self) -> Option<Duration> {
         self.inner.since_last_bytes()
     }
