--- a/crates/gateway/tests/orders/draw.rs
+++ b/crates/gateway/tests/orders/draw.rs
@@ -14,7 +14,7 @@
 }
 
 fn site() -> impl Strategy<Value = Site> {
-    let figures = (1usize..5, any::<bool>(), select(&[400u64, 1000][..]));
+    let figures = (1usize..5, any::<bool>(), select(&[40u64, 150, 1000][..]));
     let times = (select(&[100u64, 200][..]), select(&[60u64, 260][..]), select(&[0u64, 1][..]));
     (figures, times).prop_map(|((max_attempts, second_copies, window_ms), times)| {
         let (grace_ms, connect_ms, delay_ms) = times;
@@ -81,11 +81,17 @@
     plan(vec(upstream(LATE), 1..4), vec(client(LATE), 1..5))
 }
 
-/// Clients that leave while their requests come, wait, are on their way, or are answered.
+/// Clients that leave while their requests come, wait, are on their way, or are answered; some have sent more behind.
 pub fn leaving() -> impl Strategy<Value = Plan> {
     let leaves = (near(&[1, 50, 100, 150, 200, 250]), select(&[Way::Close, Way::Reset][..]));
-    let leaver = (client(&[0, 1, 50]), leaves)
-        .prop_map(|(client, leaves)| Client { leaves: Some(leaves), ..client });
+    let leaver = (client(&[0, 1, 50]), leaves, vec(any::<bool>(), 3));
+    let leaver = leaver.prop_map(|(mut client, leaves, behind)| {
+        client.leaves = Some(leaves);
+        for (ask, behind) in client.asks.iter_mut().skip(1).zip(behind) {
+            ask.behind = behind;
+        }
+        client
+    });
     let clients = (vec(leaver, 1..4), vec(client(LATE), 0..2));
     let clients = clients.prop_map(|(a, b)| [a, b].concat());
     plan(vec(upstream(&[0, 50, 100, 200]), 1..3), clients)
@@ -117,7 +123,9 @@
     ];
     let acts = vec((near(&[50, 100, 150, 300, 900, 1000]), act), 2..6);
     let reload = option::weighted(0.3, near(&[50, 100, 150, 1000]));
-    (plan(upstreams, clients), acts, reload).prop_map(|(plan, mut acts, reload)| {
+    let how = (reload, any::<bool>());
+    (plan(upstreams, clients), acts, how).prop_map(|(mut plan, mut acts, (reload, pushed))| {
+        plan.site.pushed = pushed;
         acts.sort_by_key(|(when, _)| (when.ms, when.turns));
         let known = plan.upstreams.len();
         for (_, act) in &mut acts {
