Test a crowded discovery with several processes: expiry of the list, and no turn lost

Change: `tests/fleet/crowded.rs` starts real balancers before one shared discovery. One that refuses every call while an upstream leaves the list: nothing goes there past 6 s and the grace, requests are refused at once and readiness is withdrawn, a balancer that can't reach any discovery goes on with both upstreams, and all are back by the new list once discovery serves. One that takes a call every 0.5 s and keeps six waiting: eight balancers are served, and none had given up a call that discovery had taken.

Not shown here: the same with an outage between refusals (unit tests of `freshness` have it).

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod bank;
 mod comeback;
+mod crowded;
 mod days;
 mod frozen;
 
