--- a/crates/order/src/ring.rs
+++ b/crates/order/src/ring.rs
@@ -11,7 +11,8 @@
     pub slot: usize,
 }
 
-/// Places in order. A few changes cost a search and a move of memory each; many are sorted in at once.
+/// Places in order. A few changes cost a search and a move of memory each; more cost one
+/// pass over the places.
 #[derive(Clone, Debug, Default)]
 pub struct Ring {
     places: Vec<Place>,
@@ -19,8 +20,8 @@
     parts: Vec<(u32, usize)>,
 }
 
-/// From so many changes at once on, all is sorted anew.
-const MANY: usize = 32;
+/// So many changes at once are searched and moved one by one; more are merged in one pass over the places.
+const FEW: usize = 4;
 
 impl Ring {
     /// How many there are.
@@ -63,24 +64,40 @@
     }
 
     fn change_places(&mut self, out: &[Place], into: &[Place]) {
-        if out.len() + into.len() <= MANY {
-            for place in out {
-                if let Ok(at) = self.places.binary_search(place) {
-                    self.places.remove(at);
-                }
+        if out.len() + into.len() <= FEW {
+            return self.change_one_by_one(out, into);
+        }
+        let (mut out, mut into) = (out.to_vec(), into.to_vec());
+        out.sort_unstable();
+        into.sort_unstable();
+        into.dedup();
+        let Some(first) = out.first().into_iter().chain(into.first()).min() else { return };
+        let unchanged = self.places.partition_point(|place| place < first);
+        let tail = self.places.split_off(unchanged);
+        self.places.reserve(tail.len() + into.len());
+        let mut into = into.into_iter().peekable();
+        for place in tail {
+            while let Some(new) = into.next_if(|new| *new < place) {
+                self.places.push(new);
             }
-            for place in into {
-                if let Err(at) = self.places.binary_search(place) {
-                    self.places.insert(at, *place);
-                }
+            let stays = into.next_if_eq(&place).is_some() || out.binary_search(&place).is_err();
+            if stays {
+                self.places.push(place);
+            }
+        }
+        self.places.extend(into);
+    }
+
+    fn change_one_by_one(&mut self, out: &[Place], into: &[Place]) {
+        for place in out {
+            if let Ok(at) = self.places.binary_search(place) {
+                self.places.remove(at);
+            }
+        }
+        for place in into {
+            if let Err(at) = self.places.binary_search(place) {
+                self.places.insert(at, *place);
             }
-            return;
         }
-        let mut out = out.to_vec();
-        out.sort_unstable();
-        self.places.retain(|p| out.binary_search(p).is_err());
-        self.places.extend_from_slice(into);
-        self.places.sort_unstable();
-        self.places.dedup();
     }
 }
