--- /dev/null
+++ b/crates/policy/src/breakers.rs
@@ -0,0 +1,85 @@
+//! Per-class circuit breakers of one upstream. State exists only for classes that have had a fault there; decides
+//! nothing.
+
+use crate::interface::Time;
+use crate::state::Breaker;
+
+/// The breaker of one class at one upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClassBreaker {
+    pub(crate) class: u32,
+    pub(crate) breaker: Breaker,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// By class, in ascending order.
+    breakers: Vec<ClassBreaker>,
+    /// Classes that the fleet's counts hold this upstream as shut to, in ascending order.
+    counted: Vec<u32>,
+}
+
+/// All class breakers of one upstream. An upstream without faults holds one empty pointer.
+#[derive(Debug, Default)]
+pub(crate) struct ClassBreakers {
+    state: Option<Box<State>>,
+}
+
+impl ClassBreakers {
+    /// The breaker of a class, made if it had no fault before.
+    pub(crate) fn get_mut(&mut self, class: usize) -> &mut Breaker {
+        let state = self.state.get_or_insert_default();
+        let class = class as u32;
+        let at = state.breakers.partition_point(|b| b.class < class);
+        if state.breakers.get(at).is_none_or(|b| b.class != class) {
+            state.breakers.insert(at, ClassBreaker { class, breaker: Breaker::default() });
+        }
+        &mut state.breakers[at].breaker
+    }
+
+    /// Whether the upstream is shut to a class.
+    pub(crate) fn is_shut(&self, now: Time, class: usize) -> bool {
+        let Some(state) = &self.state else { return false };
+        let found = state.breakers.binary_search_by_key(&(class as u32), |b| b.class);
+        found.is_ok_and(|at| now < state.breakers[at].breaker.until)
+    }
+
+    /// The breakers that are shut, by class.
+    pub(crate) fn shut(&self, now: Time) -> impl Iterator<Item = &ClassBreaker> {
+        let breakers = self.state.iter().flat_map(|state| &state.breakers);
+        breakers.filter(move |b| now < b.breaker.until)
+    }
+
+    /// Puts the breaker of a class at rest.
+    pub(crate) fn reset(&mut self, class: usize) {
+        let Some(state) = &mut self.state else { return };
+        if let Ok(at) = state.breakers.binary_search_by_key(&(class as u32), |b| b.class) {
+            state.breakers.remove(at);
+        }
+        self.drop_if_empty();
+    }
+
+    /// Puts all of them at rest.
+    pub(crate) fn reset_all(&mut self) {
+        if let Some(state) = &mut self.state {
+            state.breakers.clear();
+        }
+        self.drop_if_empty();
+    }
+
+    /// Replaces the classes that this upstream is counted as shut to, and returns the previous ones.
+    pub(crate) fn count(&mut self, classes: Vec<u32>) -> Vec<u32> {
+        if self.state.is_none() && classes.is_empty() {
+            return classes;
+        }
+        let previous = std::mem::replace(&mut self.state.get_or_insert_default().counted, classes);
+        self.drop_if_empty();
+        previous
+    }
+
+    fn drop_if_empty(&mut self) {
+        if self.state.as_ref().is_some_and(|s| s.breakers.is_empty() && s.counted.is_empty()) {
+            self.state = None;
+        }
+    }
+}
--- a/crates/policy/src/gauges.rs
+++ b/crates/policy/src/gauges.rs
@@ -1,14 +1,12 @@
 //! What the module shows of itself to others, and is told beside events. Decides nothing.
 
-use std::sync::Arc;
-
 use crate::interface::{ServerId, Span, Time};
 use crate::policy::Balancer;
 
 impl Balancer {
     /// Requests out at an upstream, its K_i, and its N_i within the time `t`.
     pub fn upstream(&self, id: ServerId, t: Span) -> Option<(u32, u32, f64)> {
-        let s = &self.up.servers[*self.up.by_id.get(&id)?];
+        let s = &self.up.servers[*self.up.by_id.get(&id)? as usize];
         Some((s.in_flight, Self::k(s, 0), self.n_rate(s) * t.f()))
     }
 
@@ -21,10 +19,7 @@
 
     /// No request gets more attempts than this from now on, and none gets fewer than one. What is out stays out.
     pub fn attempts_at_most(&mut self, most: usize) {
-        let most = most.max(1);
-        if self.settings.limits.max_attempts != most {
-            Arc::make_mut(&mut self.settings).limits.max_attempts = most;
-        }
+        self.max_attempts = most.max(1);
     }
 
     /// Live upstreams, and how many of them do not rest after a fault; for whoever chooses which to name.
--- a/crates/policy/src/learned.rs
+++ b/crates/policy/src/learned.rs
@@ -42,6 +42,21 @@
     levels: Vec<(f64, f64)>,
 }
 
+impl KindLearned {
+    /// The lanes as they were, unless their count is none that a balancer chooses.
+    fn lanes(&self) -> Option<Lanes> {
+        let mut lanes = Lanes::FRESH;
+        if !(1..lanes.level.len()).contains(&self.lanes) {
+            return None;
+        }
+        lanes.count = self.lanes;
+        for (level, was) in lanes.level.iter_mut().zip(&self.levels) {
+            (level.all, level.expected) = *was;
+        }
+        Some(lanes)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct UpstreamLearned {
     /// The same in every process, unlike its handle.
@@ -106,14 +121,18 @@
             mean: f.mean[c],
             dev: f.dev[c],
             hopeless: f.hopeless[c],
-            part: f.part[c],
+            part: self.part_of(c),
         };
-        let kind = |(lanes, rate): (&Lanes, &f64)| KindLearned {
-            warm_rate: *rate,
-            lanes: lanes.count,
-            levels: lanes.level.iter().map(|l| (l.all, l.expected)).collect(),
+        let kind = |k: usize| {
+            let lanes = self.up.kinds.lanes(k as u32);
+            let levels = self.up.kinds.known_lanes(k).into_iter().flat_map(|lanes| &lanes.level);
+            KindLearned {
+                warm_rate: self.up.kinds.rate(k as u32),
+                lanes: lanes.count,
+                levels: levels.map(|l| (l.all, l.expected)).collect(),
+            }
         };
-        let known = self.up.by_id.values().map(|i| &self.up.servers[*i]);
+        let known = self.up.by_id.values().map(|slot| &self.up.servers[*slot as usize]);
         let mut upstreams: Vec<UpstreamLearned> = known
             .map(|s| UpstreamLearned {
                 identity: s.identity,
@@ -130,9 +149,9 @@
             leeway: f.leeway,
             bearable: f.bearable,
             answers: f.answers,
-            any_rate: f.any_rate,
+            any_rate: self.up.kinds.any_rate,
             classes: (0..f.mean.len()).map(class).collect(),
-            kinds: f.lanes.iter().zip(&f.warm_rate).map(kind).collect(),
+            kinds: (0..self.up.kinds.len()).map(kind).collect(),
             upstreams,
         }
     }
@@ -156,25 +175,21 @@
         }
         let f = &mut self.fleet;
         (f.ts, f.good, f.leeway) = (learned.ts, learned.good, learned.leeway);
-        (f.bearable, f.answers, f.any_rate) = (learned.bearable, learned.answers, learned.any_rate);
+        (f.bearable, f.answers) = (learned.bearable, learned.answers);
         (f.paced, f.counted) = (learned.ts, now);
         for (c, was) in learned.classes.iter().enumerate() {
             (f.of_class[c], f.mean[c], f.dev[c]) = (was.answers, was.mean, was.dev);
-            (f.hopeless[c], f.part[c]) = (was.hopeless, was.part);
+            f.hopeless[c] = was.hopeless;
         }
-        let kinds = f.lanes.iter_mut().zip(&mut f.warm_rate);
-        for ((lanes, rate), was) in kinds.zip(&learned.kinds) {
-            *rate = was.warm_rate;
-            if (1..lanes.level.len()).contains(&was.lanes) {
-                lanes.count = was.lanes;
-                for (level, was) in lanes.level.iter_mut().zip(&was.levels) {
-                    (level.all, level.expected) = *was;
-                }
-            }
+        self.ranks.give(learned.classes.iter().map(|c| c.part).collect());
+        (0..classes).for_each(|class| self.reset_patience(class));
+        self.up.kinds.any_rate = learned.any_rate;
+        for (kind, was) in learned.kinds.iter().enumerate() {
+            self.up.kinds.restore(kind, was.warm_rate, was.lanes());
         }
         let was: FxHashMap<u64, &UpstreamLearned> =
             learned.upstreams.iter().map(|u| (u.identity, u)).collect();
-        let mut all: Vec<usize> = self.up.by_id.values().copied().collect();
+        let mut all: Vec<usize> = self.up.by_id.values().map(|slot| *slot as usize).collect();
         all.sort_unstable();
         for i in all {
             let s = &mut self.up.servers[i];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,11 +6,16 @@
 #![warn(missing_docs)]
 
 pub mod asking;
+mod breakers;
 mod gauges;
 pub mod interface;
 pub mod learned;
+mod machine_types;
 pub mod policy;
 mod queue;
+mod quotas;
+mod ranks;
+mod rooms;
 pub mod settings;
 mod state;
 mod upstreams;
--- /dev/null
+++ b/crates/policy/src/machine_types.rs
@@ -0,0 +1,209 @@
+//! What is known of upstreams by machine type: their warm weight, what they served, their lanes. A type costs a few
+//! words until it serves something, and a sweep touches only types that changed or served lately. Decides nothing.
+
+use std::collections::BTreeSet;
+
+use crate::interface::Settings;
+use crate::state::{Lanes, Sum};
+
+/// Machine types beyond those that classes are bound to which have figures of their own; upstreams of any further type
+/// share those of the last one. It is above the 1,300 of the target fleet (`docs/CAPACITY.md`), and all of them hold 2 MB
+/// at most. Without a bound, a list with nonsense for types would grow the table without end.
+pub(crate) const MOST_UNKNOWN: u32 = 2048;
+/// The most that classes can be bound to: the table is indexed by number.
+pub(crate) const MOST_NAMED: u32 = 16_384;
+
+/// One machine type.
+#[derive(Debug, Default)]
+struct MachineType {
+    /// Weight of its warm upstreams.
+    warm_weight: Sum,
+    /// Answers of its warm upstreams, a decaying count.
+    served: f64,
+    /// The weight that served them: the most there was, decaying as their count does.
+    past_weight: f64,
+    /// The highest rate of answers per unit of weight that was seen lately.
+    rate: f64,
+    /// `None` while nothing is known of them.
+    lanes: Option<Box<Lanes>>,
+    /// Counted among the warm types of which too little is known.
+    is_unknown: bool,
+    /// Its lanes have seen work since they were last chosen.
+    is_retuned: bool,
+}
+
+/// How counts and peaks decay at a refresh.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Decay {
+    /// Factor of counts, and the window that they reach back over, in microseconds.
+    pub(crate) count: f64,
+    pub(crate) window: f64,
+    /// Factor of peaks.
+    pub(crate) peak: f64,
+}
+
+impl Decay {
+    fn keep(self, peak: &mut f64, served: f64, weight: f64) {
+        let seen = if weight > 0.0 && served >= 1.0 { served / self.window / weight } else { 0.0 };
+        *peak = (*peak * self.peak).max(seen);
+    }
+}
+
+static FRESH: Lanes = Lanes::FRESH;
+
+/// All machine types, by number.
+#[derive(Debug)]
+pub(crate) struct MachineTypes {
+    types: Vec<MachineType>,
+    most: u32,
+    /// Those whose figures a refresh may change, in ascending order.
+    active: BTreeSet<usize>,
+    /// Those whose lanes have seen work since they were last chosen.
+    retuned: Vec<usize>,
+    /// Types with warm upstreams of which too little is known.
+    unknown: usize,
+    past_weight: f64,
+    /// The highest rate of answers per unit of weight over all types that was seen lately.
+    pub(crate) any_rate: f64,
+}
+
+impl MachineTypes {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let bound = settings.classes.iter().filter_map(|c| c.kinds.as_ref()).flatten().max();
+        let named = bound.map_or(0, |last| last.saturating_add(1));
+        Self {
+            types: Vec::new(),
+            most: named.min(MOST_NAMED) + MOST_UNKNOWN,
+            active: BTreeSet::new(),
+            retuned: Vec::new(),
+            unknown: 0,
+            past_weight: 0.0,
+            any_rate: 0.0,
+        }
+    }
+
+    /// The number under which figures of a machine type are kept; there is a place for it from then on.
+    pub(crate) fn enter(&mut self, kind: u32) -> u32 {
+        let kept = kind.min(self.most - 1);
+        if kept as usize >= self.types.len() {
+            self.types.resize_with(kept as usize + 1, MachineType::default);
+        }
+        kept
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.types.len()
+    }
+
+    // ------------------------------------------------------------ warm upstreams and what they serve
+
+    /// An upstream of this weight has become warm, or is not any more.
+    pub(crate) fn change_warm(&mut self, kind: u32, weight: f64, is_warm: bool) {
+        let of = &mut self.types[kind as usize];
+        if is_warm {
+            of.warm_weight.add(weight);
+        } else {
+            of.warm_weight.sub(weight);
+        }
+        self.active.insert(kind as usize);
+        self.count_unknown(kind as usize);
+    }
+
+    /// A warm upstream has served one request.
+    pub(crate) fn count_served(&mut self, kind: u32) {
+        self.types[kind as usize].served += 1.0;
+        self.active.insert(kind as usize);
+    }
+
+    /// Answers a microsecond that one unit of weight of a type has been seen to give lately.
+    pub(crate) fn rate(&self, kind: u32) -> f64 {
+        self.types.get(kind as usize).map_or(0.0, |t| t.rate)
+    }
+
+    /// Decays counts and peaks, and takes in what was served since.
+    pub(crate) fn refresh(&mut self, decay: Decay) {
+        let mut is_past_changed = false;
+        let mut served = 0.0;
+        for &kind in &self.active {
+            let of = &mut self.types[kind];
+            of.served *= decay.count;
+            served += of.served;
+            let past = (of.past_weight * decay.count).max(of.warm_weight.get());
+            is_past_changed |= past != of.past_weight;
+            of.past_weight = past;
+        }
+        if is_past_changed {
+            self.past_weight = self.types.iter().map(|t| t.past_weight).sum();
+        }
+        decay.keep(&mut self.any_rate, served, self.past_weight);
+        let types = &mut self.types;
+        self.active.retain(|&kind| {
+            let of = &mut types[kind];
+            decay.keep(&mut of.rate, of.served, of.past_weight);
+            of.served != 0.0 || of.rate != 0.0 || of.past_weight != of.warm_weight.get()
+        });
+    }
+
+    // ------------------------------------------------------------ lanes
+
+    pub(crate) fn lanes(&self, kind: u32) -> &Lanes {
+        self.types[kind as usize].lanes.as_deref().unwrap_or(&FRESH)
+    }
+
+    /// The lanes of a type, to book work in.
+    pub(crate) fn lanes_at_work(&mut self, kind: u32) -> &mut Lanes {
+        let of = &mut self.types[kind as usize];
+        if !std::mem::replace(&mut of.is_retuned, true) {
+            self.retuned.push(kind as usize);
+        }
+        of.lanes.get_or_insert_with(|| Box::new(Lanes::FRESH))
+    }
+
+    /// Ends a round for the types that have seen work.
+    pub(crate) fn choose_lanes(&mut self) {
+        for kind in std::mem::take(&mut self.retuned) {
+            let of = &mut self.types[kind];
+            of.is_retuned = false;
+            if let Some(lanes) = &mut of.lanes {
+                lanes.choose();
+            }
+            self.count_unknown(kind);
+        }
+    }
+
+    /// Whether enough is known of the lanes of every type with warm upstreams.
+    pub(crate) fn are_lanes_known(&self) -> bool {
+        self.unknown == 0
+    }
+
+    fn count_unknown(&mut self, kind: usize) {
+        let of = &mut self.types[kind];
+        let known = of.lanes.as_deref().unwrap_or(&FRESH).next().1;
+        let is_unknown = of.warm_weight.get() != 0.0 && !known;
+        let was_unknown = std::mem::replace(&mut of.is_unknown, is_unknown);
+        self.unknown = self.unknown + usize::from(is_unknown) - usize::from(was_unknown);
+    }
+
+    // ------------------------------------------------------------ what is restored
+
+    /// Lanes of which something is known.
+    pub(crate) fn known_lanes(&self, kind: usize) -> Option<&Lanes> {
+        self.types[kind].lanes.as_deref()
+    }
+
+    /// Sets the rate of a type, and its lanes if they are given; work of the present round stays.
+    pub(crate) fn restore(&mut self, kind: usize, rate: f64, lanes: Option<Lanes>) {
+        let Some(of) = self.types.get_mut(kind) else { return };
+        of.rate = rate;
+        let is_news = |lanes: &Lanes| of.lanes.is_some() || !lanes.is_fresh();
+        if let Some(mut lanes) = lanes.filter(is_news) {
+            let present = of.lanes.as_deref().unwrap_or(&FRESH);
+            for (level, present) in lanes.level.iter_mut().zip(&present.level) {
+                (level.time, level.done) = (present.time, present.done);
+            }
+            of.lanes = Some(Box::new(lanes));
+        }
+        self.active.insert(kind);
+        self.count_unknown(kind);
+    }
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -10,7 +10,11 @@
 
 use crate::asking::Asking;
 use crate::interface::*;
+use crate::machine_types::Decay;
 use crate::queue::{Out, Queue};
+use crate::quotas::Quotas;
+use crate::ranks::{Figures, Ranks};
+use crate::rooms::Capacity;
 use crate::state::*;
 use crate::upstreams::{Server, Standing, Upstreams};
 
@@ -75,7 +79,7 @@
 /// How fast the service time of good times follows a worse one, per answer.
 const GOOD_GAIN: f64 = 1.0 / 1024.0;
 /// Most requests that an upstream is tried with side by side.
-const MOST_LANES: usize = 32;
+pub(crate) const MOST_LANES: usize = 32;
 /// An unseen level weighs as so many answers that no more gets done than one below, as the paper has it.
 const LANE_PRIOR: f64 = 16.0;
 /// Answers that what is known of a level reaches back over.
@@ -135,14 +139,6 @@
     }
 }
 
-impl Server {
-    /// Shuts it to a class that went unanswered there.
-    fn shut(&mut self, now: Time, class: usize, mean: f64) {
-        self.by_class[class].trip(now, mean, CLASS_DOUBLINGS);
-        self.clear_from = self.clear_from.max(self.by_class[class].until);
-    }
-}
-
 /// One proxy's share of the bank: all its decisions.
 #[derive(Debug)]
 pub struct Balancer {
@@ -161,11 +157,11 @@
     /// Attempts that are out, and further ones that what is overdue may still have.
     out: Out,
     extra: f64,
-    /// Whether so much of the fleet is shut to a class that it is open to it all the same.
-    panic: Vec<bool>,
+    pub(crate) max_attempts: usize,
     pub(crate) fleet: Fleet,
-    /// What each tenant may still send within its share.
-    quotas: Vec<Quota>,
+    /// Classes by worth for their work, and what each tenant may still send within its share.
+    pub(crate) ranks: Ranks,
+    quotas: Quotas,
     ask: Asking,
 }
 
@@ -189,12 +185,8 @@
 }
 
 impl Lanes {
-    fn new() -> Self {
-        Self { count: 1, level: vec![Level::default(); MOST_LANES + 1] }
-    }
-
     /// Ends a round, if enough was seen, and takes the fewest lanes that get enough done.
-    fn choose(&mut self) {
+    pub(crate) fn choose(&mut self) {
         let now = self.level[self.count];
         if now.done < LANE_ROUND {
             return;
@@ -224,7 +216,7 @@
 
     /// The level to try next, and whether enough is known of it. Twice the count, a step that wins more than
     /// LANES_ENOUGH asks. Failure: tried with one more, six cores stuck at three lanes for good.
-    fn next(&self) -> (usize, bool) {
+    pub(crate) fn next(&self) -> (usize, bool) {
         let next = (2 * self.count).min(MOST_LANES);
         (next, self.level[next].expected >= LANE_PRIOR)
     }
@@ -241,7 +233,7 @@
 
     /// Requests that upstreams of its kind run side by side.
     fn lanes(&self, s: &Server) -> f64 {
-        self.fleet.lanes[s.kind as usize].count as f64
+        self.up.kinds.lanes(s.kept_kind).count as f64
     }
 
     /// K_i = 2*TP_i / TS_i + 1 for an upstream that runs one request at a time, and one more for each further
@@ -260,15 +252,14 @@
     /// Each answer and each sweep updates K_i and N_i, and with them the sums over the fleet.
     fn update(&mut self, server: usize) {
         let s = &self.up.servers[server];
-        let now = (self.k_exact(s), self.n_hoped(s));
-        (self.up.servers[server].k, self.up.servers[server].n) = now;
-        self.up.sum(server);
+        let capacity = Capacity { k: self.k_exact(s), n: self.n_hoped(s) };
+        self.up.sum(server, capacity);
     }
 
     /// The same as admission counts on it. Until it is known that more lanes win nothing they are hoped for,
     /// or a fresh proxy refuses beside upstreams that have room.
     fn n_hoped(&self, s: &Server) -> f64 {
-        let lanes = &self.fleet.lanes[s.kind as usize];
+        let lanes = self.up.kinds.lanes(s.kept_kind);
         let (next, known) = lanes.next();
         self.n_rate(s) * if known { 1.0 } else { next as f64 / lanes.count as f64 }
     }
@@ -279,14 +270,12 @@
     }
 
     fn refresh_lanes(&mut self, now: Time) {
-        let kinds = self.fleet.lanes.iter().zip(&self.up.warm_weight);
-        let known = kinds.into_iter().all(|(lanes, warm)| warm.get() == 0.0 || lanes.next().1);
-        let round = if known { TRIAL_OF_TS } else { FIRST_TRIAL_OF_TS };
+        let round = if self.up.kinds.are_lanes_known() { TRIAL_OF_TS } else { FIRST_TRIAL_OF_TS };
         if now.since(self.fleet.tried).f() < self.fleet.ts * round {
             return;
         }
         self.fleet.tried = now;
-        self.fleet.lanes.iter_mut().for_each(Lanes::choose);
+        self.up.kinds.choose_lanes();
         // One own upstream at a time, or half of them while nothing is known of more lanes (failure: at six
         // cores, learned one by one, a quarter was refused for the first minute of a quiet day). Not beyond
         // one's own part: there the trials of a bank would meet. Fewer where many proxies share an upstream:
@@ -307,7 +296,7 @@
         }
         let first = (1.0 / (self.up.sharers * self.up.sharers)).min(TRIALS_FIRST);
         for &i in &own {
-            let lanes = &self.fleet.lanes[self.up.servers[i].kind as usize];
+            let lanes = self.up.kinds.lanes(self.up.servers[i].kept_kind);
             let (next, known) = lanes.next();
             if !known && self.rng.rand_float() < first {
                 self.on_trial(now, i, (next - lanes.count) as i32);
@@ -315,7 +304,7 @@
         }
         let [more, fewer] =
             [(), ()].map(|()| own[self.rng.rand_range(0..own.len() as u64) as usize]);
-        let lanes = &self.fleet.lanes[self.up.servers[more].kind as usize];
+        let lanes = self.up.kinds.lanes(self.up.servers[more].kept_kind);
         let (next, known) = lanes.next();
         if !known {
             return;
@@ -323,7 +312,7 @@
         if self.rng.rand_float() < TRIALS_LATER * own.len() as f64 {
             self.on_trial(now, more, (next - lanes.count) as i32);
         } else {
-            let count = self.fleet.lanes[self.up.servers[fewer].kind as usize].count;
+            let count = self.up.kinds.lanes(self.up.servers[fewer].kept_kind).count;
             self.on_trial(now, fewer, -((count - 1).min((count / 3).max(1)) as i32));
         }
     }
@@ -353,17 +342,17 @@
     fn count_level(&mut self, now: Time, server: usize, answered: Option<usize>) {
         let s = &self.up.servers[server];
         let passed = now.since(s.changed).f();
-        let (kind, level, ts) = (s.kind as usize, s.in_flight as usize, self.ts(s));
+        let (kind, level, ts) = (s.kept_kind, s.in_flight as usize, self.ts(s));
         let at_once = answered.is_some() && passed < ts * AT_ONCE_OF_TS;
-        let done_at = if at_once { level.max(s.done_at) } else { level };
+        let done_at = if at_once { level.max(s.done_at as usize) } else { level };
         if self.fair(now, s) && (1..=MOST_LANES).contains(&level) {
-            let of = &mut self.fleet.lanes[kind].level;
+            let of = &mut self.up.kinds.lanes_at_work(kind).level;
             of[level].time += passed.min(ts * LANE_GAP);
             of[done_at.min(MOST_LANES)].done +=
                 answered.map_or(0.0, |class| self.fleet.mean[class] / self.fleet.ts);
         }
         let s = &mut self.up.servers[server];
-        (s.changed, s.done_at) = (now, if answered.is_some() { done_at } else { 0 });
+        (s.changed, s.done_at) = (now, if answered.is_some() { done_at as u32 } else { 0 });
     }
 
     /// A prior counts as one answer, and each further one for its part of all, until the means follow.
@@ -379,6 +368,8 @@
         let gain = gain(&mut f.of_class[class]);
         *dev += (if new { latency / 2.0 } else { off } - *dev) * gain;
         *mean += (latency - *mean) * gain;
+        self.ranks.change(class);
+        self.reset_patience(class);
     }
 
     fn slice(&self) -> usize {
@@ -414,7 +405,7 @@
         }
         self.owed = all - places.len();
         let part = self.part();
-        self.up.rooms.iter_mut().for_each(|r| r.share(part));
+        self.up.rooms.sweep(part);
         self.refresh_admission();
     }
 
@@ -431,10 +422,7 @@
             self.fleet.tp2 = self.fleet.tp2_sum.get() / self.fleet.tp2_seen as f64;
         }
         self.refresh_warm(now);
-        for c in 0..self.panic.len() {
-            self.panic[c] =
-                self.up.shut[c] as f64 > self.up.rooms[self.up.room_of[c]].live as f64 * PANIC;
-        }
+        self.up.refresh_panic(PANIC);
     }
 }
 
@@ -448,10 +436,10 @@
         let k = Self::k(s, if trial { s.trial } else { s.trial.min(0) });
         // Failure: a proxy at its limit sent on trial to upstreams that it had left idle as slow.
         let slot = s.in_flight < k && !(trial && s.in_flight < Self::k(s, 0));
-        slot && (now >= s.by_class[class].until || self.panic[class])
+        slot && (!s.by_class.is_shut(now, class) || self.up.is_panicking(class))
             && s.status == Status::Live
             && now >= s.breaker.until
-            && self.up.open_to(Some(class), s)
+            && self.up.is_open(class, s)
             && self.cold_allows(now, s)
     }
 
@@ -459,7 +447,7 @@
     fn touch(&mut self, now: Time, server: usize) {
         let s = &self.up.servers[server];
         let live = s.status == Status::Live;
-        let spotted = live && now < s.clear_from && s.by_class.iter().any(|b| now < b.until);
+        let spotted = live && s.by_class.shut(now).next().is_some();
         let cold = if live { self.cold_share(now, s) } else { None };
         let earned = cold.is_none() || self.cold_allows(now, s);
         let slot = s.in_flight < Self::k(s, s.trial.min(0));
@@ -470,14 +458,13 @@
                 next[1] = started.plus(self.settings.rules.cold);
                 next[2] = if earned { next[1] } else { self.earns_at(now, s) };
             }
-            let shut = s.by_class.iter().map(|b| b.until).filter(|_| spotted);
+            let shut = s.by_class.shut(now).map(|b| b.breaker.until);
             if let Some(at) = next.into_iter().chain(shut).filter(|t| now < *t).min() {
                 self.up.alarms.set(server, at.0);
             }
         }
         let standing = Standing { key, warm: live && cold.is_none(), spotted };
-        let shut = |s: &Server, class: usize| now < s.by_class[class].until;
-        self.up.stand(server, standing, shut, &self.panic);
+        self.up.stand(now, server, standing);
     }
 
     /// The upstream of least cost with a free slot, of those that a request may be sent to. One that already
@@ -490,18 +477,18 @@
         let tried: Vec<usize> = e.attempts.iter().map(|a| a.server).collect();
         let out = |i: &usize| e.attempts.iter().any(|a| a.fate == Fate::Out && a.server == *i);
         let free = |i: &usize| self.up.in_bound(bound, *i) && self.is_free(now, class, *i, full);
-        let few = match bound {
-            _ if full => Some(&self.trying[..]),
-            Bound::Cell(zone, cell) => Some(self.up.cell(zone, cell)),
-            _ => None,
-        };
         let key = |i: &usize| self.up.servers[*i].key();
         let last: Vec<usize> = tried.iter().copied().filter(free).collect();
         let again = last.iter().copied().filter(|i| !out(i)).min_by_key(key);
         let none = if last.is_empty() { Stuck::NoneFree } else { Stuck::Itself };
-        if let Some(few) = few {
-            let best = few.iter().copied().filter(|i| !tried.contains(i) && free(i));
-            return best.min_by_key(key).or(again).ok_or(none);
+        let fits = |i: &usize| !tried.contains(i) && free(i);
+        if full {
+            let best = self.trying.iter().copied().filter(fits).min_by_key(key);
+            return best.or(again).ok_or(none);
+        }
+        if let Bound::Cell(zone, cell) = bound {
+            let best = self.up.cell(zone, cell).filter(fits).min_by_key(key);
+            return best.or(again).ok_or(none);
         }
         // What stands with the free is looked at once more before it is sent to.
         while let Some(i) = self.up.best(class, bound, &tried) {
@@ -542,8 +529,8 @@
             self.refuse(r.id, out);
             return;
         }
-        if in_share && let Some(q) = self.quotas.get_mut(r.tenant) {
-            q.tokens -= 1.0;
+        if in_share {
+            self.quotas.spend(r.tenant);
         }
         if let Some(server) = at_once {
             return self.send(now, r.id, server, out);
@@ -560,26 +547,26 @@
     /// classes worth less for their work get a smaller part of it.
     fn admits(&self, class: usize, in_share: bool) -> bool {
         // Failure: a tenant that sent three times its share took the others' part of a full fleet.
-        let part = if in_share { self.fleet.part[class] } else { 0.0 };
-        let room = &self.up.rooms[self.up.room_of[class]];
+        let part = if in_share { self.part_of(class) } else { 0.0 };
+        let room = self.up.rooms.load(class);
         let n = room.n_per_time * (self.fleet.ts + self.fleet.bearable * part);
         // With no list yet there is no N to sum: hold until an upstream shows or time is up.
         n == 0.0 || ((room.queued + room.in_flight) as f64) < n.max(1.0)
     }
 
+    /// Part of the bearable wait that a class may use.
+    pub(crate) fn part_of(&self, class: usize) -> f64 {
+        let ranked = || LEAST_PART + (1.0 - LEAST_PART) * self.ranks.rank(class);
+        self.ranks.given(class).unwrap_or_else(ranked)
+    }
+
     fn refresh_admission(&mut self) {
-        let f = &mut self.fleet;
-        let classes = &self.settings.classes;
-        let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
-        f.bearable = classes.iter().zip(&f.mean).map(bear).fold(f64::MAX, f64::min).max(0.0);
-        let value = |c: usize, m: &[f64]| classes[c].worth / m[c].max(1.0);
-        for c in 0..classes.len() {
-            let mine = value(c, &f.mean);
-            let below = (0..classes.len()).filter(|&o| value(o, &f.mean) < mine).count();
-            let rank =
-                if classes.len() == 1 { 1.0 } else { below as f64 / (classes.len() - 1) as f64 };
-            f.part[c] = LEAST_PART + (1.0 - LEAST_PART) * rank;
-        }
+        let (classes, mean) = (&self.settings.classes, &self.fleet.mean);
+        self.ranks.refresh(|c| Figures {
+            value: classes[c].worth / mean[c].max(1.0),
+            bearable: classes[c].aim.f() * HOLD_OF_AIM - mean[c],
+        });
+        self.fleet.bearable = self.ranks.least_bearable().max(0.0);
     }
 
     fn refuse(&mut self, request: RequestId, out: &mut Vec<Action>) {
@@ -613,11 +600,11 @@
         let (class, until) = (e.class, e.hold_until);
         let fresh = e.attempts.is_empty() && e.pod.is_none();
         let lane = match fresh {
-            true => Lane::Fresh(self.up.room_of[class]),
+            true => Lane::Fresh(self.up.rooms.room_of(class)),
             false => Lane::Again(class, self.bound(e)),
         };
         self.queue.hold(id, lane, at_head);
-        self.up.count_queued(class, 1);
+        self.up.rooms.count_queued(class, 1);
         if !fresh {
             self.queue.give_up_at(until, id);
         }
@@ -627,13 +614,13 @@
     fn release(&mut self, id: RequestId) {
         if let Some(class) = self.queue.get(id).filter(|e| e.held).map(|e| e.class) {
             self.queue.release(id);
-            self.up.count_queued(class, -1);
+            self.up.rooms.count_queued(class, -1);
         }
     }
 
     /// Whether this proxy's part of the slots is taken, of those that a class can have.
     fn is_full(&self, class: usize) -> bool {
-        let room = &self.up.rooms[self.up.room_of[class]];
+        let room = self.up.rooms.load(class);
         room.in_flight as f64 >= room.slots.max(1.0)
     }
 
@@ -673,7 +660,7 @@
         self.up.servers[server].refs += 1;
         self.take_slot(now, id, true);
         if first {
-            self.extra = (self.extra + EXTRA).min(self.up.rooms[0].slots.max(1.0));
+            self.extra = (self.extra + EXTRA).min(self.up.rooms.whole().slots.max(1.0));
         }
         let server = self.up.servers[server].id;
         out.push(Action::Send { request: id, server, timeout, send_by });
@@ -714,7 +701,7 @@
     /// The one place that says whether a request may be sent (again), now, within [`Self::bound`].
     fn may_go(&self, now: Time, e: &Entry) -> bool {
         let limits = &self.settings.limits;
-        let tried = e.spent || e.attempts.len() >= limits.max_attempts;
+        let tried = e.spent || e.attempts.len() >= self.max_attempts;
         if e.ended || now >= self.send_by(e) || tried {
             return false;
         }
@@ -805,7 +792,7 @@
         // bank add up to a multiple of what any upstream can do.
         let s = &self.up.servers[server];
         if a.outcome == Outcome::Ok && self.cold_share(now, s).is_none() {
-            self.fleet.warm_served[s.kind as usize] += 1.0;
+            self.up.kinds.count_served(s.kept_kind);
         }
         let mean = self.fleet.mean[class];
         let mean = if mean > 0.0 { mean } else { self.fleet.ts };
@@ -829,10 +816,10 @@
             Outcome::Ok => {
                 s.answered = s.answered.max(attempt.sent);
                 s.breaker.faults = 0;
-                s.by_class[class] = Breaker::default();
+                s.by_class.reset(class);
             }
             Outcome::Error | Outcome::Timeout | Outcome::Reset if !attempt.overdue => {
-                s.shut(now, class, mean);
+                s.by_class.get_mut(class).trip(now, mean, CLASS_DOUBLINGS);
             }
             _ => {}
         }
@@ -855,7 +842,8 @@
         f.good += if f.ts < f.good { f.ts - f.good } else { (f.ts - f.good) * GOOD_GAIN };
         // Failure: it fell with every heavy request and rose only at the limit, so where bursts alone reach
         // the limit it never left its least value, and proxies refused beside idle upstreams.
-        let idle = self.up.rooms[0].in_flight as f64 + 1.0 < self.up.rooms[0].slots;
+        let room = self.up.rooms.whole();
+        let idle = room.in_flight as f64 + 1.0 < room.slots;
         if idle && outcome == Outcome::Ok {
             return;
         }
@@ -881,16 +869,18 @@
         (w.sent.plus(Span::of(patience)), w.sent.plus(Span::of(again)))
     }
 
-    /// Attempts that may be overdue, or in need of a second one, leave the young ones; so many a class.
+    /// Sets when an attempt of a class may be overdue, or in need of a second one, from its mean.
+    pub(crate) fn reset_patience(&mut self, class: usize) {
+        let (mean, dev) = (self.fleet.mean[class], self.fleet.dev[class]);
+        let least = (mean + PATIENCE * dev).min(mean * LEAST_PATIENCE);
+        let aim = self.settings.classes[class].aim;
+        self.out.set_patience(class, if mean == 0.0 { aim } else { Span::of(least) });
+    }
+
+    /// Attempts that may be due leave the young ones; so many a class.
     fn ripen(&mut self, now: Time, most: usize) {
-        for (c, class) in self.settings.classes.iter().enumerate() {
-            let (mean, dev) = (self.fleet.mean[c], self.fleet.dev[c]);
-            let least = (mean + PATIENCE * dev).min(mean * LEAST_PATIENCE);
-            let least = if mean == 0.0 { class.aim } else { Span::of(least) };
-            let queue = &self.queue;
-            let out = |w: &Watched| queue.attempt(w).is_some_and(|a| a.fate == Fate::Out);
-            self.out.ripen(c, now.plus(Span(-least.0)), most, out);
-        }
+        let queue = &self.queue;
+        self.out.ripen(now, most, |w| queue.attempt(w).is_some_and(|a| a.fate == Fate::Out));
     }
 
     /// Watches what is out. What is overdue is a fault of its upstream in its class; in time for a second
@@ -913,7 +903,7 @@
             w.late = true;
             self.out.keep(w);
             let (late, asked) = (a.overdue || now >= late_at, a.asked || now >= again_at);
-            let room = &self.up.rooms[self.up.room_of[e.class]];
+            let room = self.up.rooms.load(e.class);
             let idle = room.queued == 0 && (room.in_flight as f64) < room.slots;
             let likely = self.fleet.hopeless[e.class] > LIKELY;
             let again = asked && !a.asked && likely && idle && self.extra >= 1.0;
@@ -933,7 +923,7 @@
             if late && !a.overdue && !flows {
                 let mean = self.fleet.mean[class].max(1.0);
                 s.est.learn(Outcome::Timeout, now.since(a.sent).f(), mean);
-                s.shut(now, class, mean);
+                s.by_class.get_mut(class).trip(now, mean, CLASS_DOUBLINGS);
             }
             if again {
                 self.extra -= 1.0;
@@ -1021,8 +1011,8 @@
     /// Answers per microsecond that one warm upstream like `s` has been seen to give.
     fn warm_rate(&self, s: &Server) -> f64 {
         let f = &self.fleet;
-        let like = f.warm_rate.get(s.kind as usize).copied().unwrap_or(0.0);
-        let rate = s.weight * if like > 0.0 { like } else { f.any_rate };
+        let like = self.up.kinds.rate(s.kept_kind);
+        let rate = s.weight * if like > 0.0 { like } else { self.up.kinds.any_rate };
         let multiple = self.settings.rules.fall_multiple.max(1.0);
         // Failure: with every upstream young, or nothing observed yet, none got any work.
         let least = multiple / self.up.sharers / f.paced;
@@ -1060,19 +1050,10 @@
         self.fleet.paced = self.fleet.ts;
         let window = self.settings.rules.tip_after.f().max(1.0);
         let cold = self.settings.rules.cold.f().max(1.0);
-        let (f, decay) = (&mut self.fleet, (-elapsed / window).exp());
-        f.warm_served.iter_mut().for_each(|w| *w *= decay);
         // Failure: as upstreams went one after another, the last ones seemed to have served what all had.
-        let weights = f.warm_past.iter_mut().zip(&self.up.warm_weight);
-        weights.for_each(|(past, weight)| *past = (*past * decay).max(weight.get()));
         // Failure: when the warm ones slowed, the young, who did not, were held back with them.
-        let keep = |peak: &mut f64, served: f64, weight: f64| {
-            let seen = if weight > 0.0 && served >= 1.0 { served / window / weight } else { 0.0 };
-            *peak = (*peak * (-elapsed / cold).exp()).max(seen);
-        };
-        keep(&mut f.any_rate, f.warm_served.iter().sum(), f.warm_past.iter().sum());
-        let seen = f.warm_served.iter().zip(&f.warm_past).zip(&mut f.warm_rate);
-        seen.for_each(|((served, weight), peak)| keep(peak, *served, *weight));
+        let (count, peak) = ((-elapsed / window).exp(), (-elapsed / cold).exp());
+        self.up.kinds.refresh(Decay { count, window, peak });
     }
 }
 
@@ -1081,14 +1062,9 @@
 impl Balancer {
     /// Whether one more request of this tenant is within its share; what is refused uses up none.
     fn in_share(&mut self, now: Time, tenant: usize) -> bool {
-        let Some(q) = self.quotas.get_mut(tenant) else { return true };
-        let rate =
-            self.settings.tenants[tenant].quota_rps / 1e6 / f64::from(self.settings.balancers);
+        let Some(of) = self.settings.tenants.get(tenant) else { return true };
         // A share unused for the life of a request is gone: the fleet did not wait for it.
-        let most = rate * self.settings.classes.iter().map(|c| c.deadline.f()).fold(0.0, f64::max);
-        q.tokens = (q.tokens + rate * now.since(q.counted).f()).min(most.max(1.0));
-        q.counted = now;
-        q.tokens >= 1.0
+        self.quotas.refill(now, tenant, of.quota_rps) >= 1.0
     }
 }
 
@@ -1110,21 +1086,21 @@
             rng: Rand64::new(u128::from(seed)),
             started: false,
             up: Upstreams::new(settings.clone()),
+            max_attempts: settings.limits.max_attempts,
             queue: Queue::default(),
             at: 0,
             owed: 0,
             trying: Vec::new(),
             closing: Vec::new(),
-            out: Out::new(classes),
+            out: Out::new(settings.classes.iter().map(|c| c.aim)),
             extra: 1.0,
-            panic: vec![false; classes],
+            ranks: Ranks::new(classes, 1.0),
             fleet: Fleet {
                 ts: t_qos * TS_PRIOR_OF_QOS,
                 mean: vec![0.0; classes],
                 dev: vec![0.0; classes],
                 hopeless: vec![0.0; classes],
                 bearable: t_qos * TS_PRIOR_OF_QOS,
-                part: vec![1.0; classes],
                 paced: t_qos * TS_PRIOR_OF_QOS,
                 tried: Time(i64::MIN),
                 answers: 1.0,
@@ -1134,7 +1110,7 @@
                 counted: now,
                 ..Fleet::default()
             },
-            quotas: settings.tenants.iter().map(|_| Quota { tokens: 1.0, counted: now }).collect(),
+            quotas: Quotas::new(&settings, now),
             ask: Asking::new(settings.rules.ask_every, now, 0.0),
             settings,
         })
@@ -1151,6 +1127,7 @@
         }
         self.queue.rested(now);
         self.queue.tidy();
+        self.quotas.drop_full(now, &self.settings);
         if !matches!(event, Event::Timer(_) | Event::Members { .. }) {
             self.ripen(now, SLIVER);
             self.watch(now, SLIVER);
@@ -1233,20 +1210,14 @@
             ListKind::Update | ListKind::Whole => self.ask.told(),
         }
         let changed = self.up.list(now, kind, list);
-        let kinds = self.up.warm_weight.len();
-        self.fleet.lanes.resize_with(kinds, Lanes::new);
-        self.fleet.warm_served.resize(kinds, 0.0);
-        self.fleet.warm_past.resize(kinds, 0.0);
-        self.fleet.warm_rate.resize(kinds, 0.0);
         for c in &changed {
             let s = &mut self.up.servers[c.server];
             if c.restarted {
                 // Spread over the bank: a random part of the first send is already earned.
                 (s.tokens, s.refilled) = (self.rng.rand_float(), now);
                 s.est.slow = Estimate::NONE.slow;
-                s.clear_from = now;
                 s.breaker = Breaker::default();
-                s.by_class.fill(Breaker::default());
+                s.by_class.reset_all();
             }
             if c.was != Some(s.status) {
                 s.close_until = now.plus(self.settings.rules.drain_close);
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -5,6 +5,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use hollowpaddle_order::waiting::{Turn, Waiting};
+use hollowpaddle_order::winners::{Key, Winners};
 use rustc_hash::FxHashMap;
 
 use crate::interface::*;
@@ -243,11 +244,35 @@
     }
 }
 
+/// Attempts of one class that are not due yet.
+#[derive(Debug)]
+struct Young {
+    /// In the order of sending, which is that of coming due. Some have ended.
+    attempts: VecDeque<Watched>,
+    /// They may be due so long after they were sent.
+    patience: Span,
+}
+
+impl Young {
+    /// When the first may be due, as a key.
+    fn due(&self) -> Key {
+        let first = self.attempts.front();
+        first.map_or(Key::OUT, |w| time_key(w.sent.plus(self.patience)))
+    }
+}
+
+/// A key that orders as times do.
+fn time_key(at: Time) -> Key {
+    Key(at.0 as u64 ^ 1 << 63, 0)
+}
+
 /// Attempts that are out, so that those that may be overdue are found without going through all.
 #[derive(Debug)]
 pub(crate) struct Out {
-    /// By class, in the order of sending, which is that of coming due. Some have ended.
-    young: Vec<VecDeque<Watched>>,
+    /// By class.
+    young: Vec<Young>,
+    /// Which class has attempts that are due next.
+    due: Winners,
     /// Those that may be due, all classes in the order of sending: what this round has not looked at, and behind it
     /// what it has kept.
     ripe: VecDeque<Watched>,
@@ -259,9 +284,12 @@
 }
 
 impl Out {
-    pub(crate) fn new(classes: usize) -> Self {
+    /// With each class's patience.
+    pub(crate) fn new(patience: impl Iterator<Item = Span>) -> Self {
+        let young = |patience| Young { attempts: VecDeque::new(), patience };
         Self {
-            young: vec![VecDeque::new(); classes],
+            young: patience.map(young).collect(),
+            due: Winners::default(),
             ripe: VecDeque::new(),
             fresh: Vec::new(),
             sent: 0,
@@ -272,23 +300,41 @@
     /// One has been sent.
     pub(crate) fn sent(&mut self, w: Watched) {
         self.sent += 1;
-        self.young[w.class].push_back(Watched { order: self.sent, ..w });
-    }
-
-    /// So many of a class that were sent by then ripen, or are dropped if they are not out any more.
-    pub(crate) fn ripen(
-        &mut self,
-        class: usize,
-        by: Time,
-        most: usize,
-        out: impl Fn(&Watched) -> bool,
-    ) {
-        for _ in 0..most {
-            let Some(w) = self.young[class].pop_front_if(|w| w.sent <= by) else { return };
-            if out(&w) {
-                self.fresh.push(w);
+        self.young[w.class].attempts.push_back(Watched { order: self.sent, ..w });
+        if self.young[w.class].attempts.len() == 1 {
+            self.due.set(w.class, self.young[w.class].due());
+        }
+    }
+
+    /// Attempts of a class may be due so long after they were sent, from now on.
+    pub(crate) fn set_patience(&mut self, class: usize, patience: Span) {
+        self.young[class].patience = patience;
+        self.due.set(class, self.young[class].due());
+    }
+
+    /// Those that may be due by now ripen, so many of each class, or are dropped if they are not out any more.
+    pub(crate) fn ripen(&mut self, now: Time, most: usize, out: impl Fn(&Watched) -> bool) {
+        let mut left_over = Vec::new();
+        while let Some((_, class)) = self.due.best().filter(|(key, _)| *key <= time_key(now)) {
+            let young = &mut self.young[class];
+            let by = now.plus(Span(-young.patience.0));
+            for _ in 0..most {
+                let Some(w) = young.attempts.pop_front_if(|w| w.sent <= by) else { break };
+                if out(&w) {
+                    self.fresh.push(w);
+                }
+            }
+            let due = young.due();
+            if due <= time_key(now) {
+                left_over.push(class);
+                self.due.set(class, Key::OUT);
+            } else {
+                self.due.set(class, due);
             }
         }
+        for class in left_over {
+            self.due.set(class, self.young[class].due());
+        }
     }
 
     /// Begins a round over the ripe ones. Failure: all of them sorted anew, tens of times a second, was the longest
--- /dev/null
+++ b/crates/policy/src/rooms.rs
@@ -0,0 +1,277 @@
+//! Rooms: the sets of upstreams that classes are bound to, with their sums and their trees of free upstreams. An
+//! upstream touches only the rooms that it belongs to. Decides nothing.
+
+use hollowpaddle_order::winners::{Key, Winners};
+use rustc_hash::FxHashMap;
+
+use crate::interface::{Class, Settings};
+use crate::state::{Rates, Sum};
+
+/// Classes that [`crate::interface::Member::barred`] has a bit for: only these can be kept from a single upstream, and
+/// need sums of their own for it.
+const BARRED_CLASSES: usize = u64::BITS as usize;
+
+/// Upstreams with a free slot, by cost.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Trees {
+    /// Those that are open to all classes.
+    pub(crate) clear: Winners,
+    /// Those that are shut to some class.
+    pub(crate) spotted: Winners,
+}
+
+/// One value for each area that has upstreams; there are few. An area is a zone where keys bind some class to it, else
+/// the whole fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct ByArea<T> {
+    /// In ascending order of area.
+    entries: Vec<(u32, T)>,
+}
+
+impl<T> Default for ByArea<T> {
+    fn default() -> Self {
+        Self { entries: Vec::new() }
+    }
+}
+
+impl<T: Default> ByArea<T> {
+    pub(crate) fn get_mut(&mut self, area: u32) -> &mut T {
+        let at = self.entries.partition_point(|e| e.0 < area);
+        if self.entries.get(at).is_none_or(|e| e.0 != area) {
+            self.entries.insert(at, (area, T::default()));
+        }
+        &mut self.entries[at].1
+    }
+
+    /// The values of one area, or of all.
+    pub(crate) fn within(&mut self, area: Option<u32>) -> impl Iterator<Item = &mut T> {
+        let entries = self.entries.iter_mut().filter(move |e| area.is_none_or(|a| a == e.0));
+        entries.map(|e| &mut e.1)
+    }
+
+    pub(crate) fn map<U>(&self, of: impl Fn(&T) -> U) -> ByArea<U> {
+        ByArea { entries: self.entries.iter().map(|(area, t)| (*area, of(t))).collect() }
+    }
+}
+
+/// What the upstreams that one set of classes may be sent to hold and can hold. The first room is the whole
+/// fleet; a class bound to zones or kinds has a room of its own. Failure: refused and held by the sums of the
+/// whole fleet, a bound class queued behind slots it could never have.
+#[derive(Debug, Default)]
+pub(crate) struct Room {
+    /// A class that is bound so; `None` for the whole fleet.
+    class: Option<usize>,
+    queued: usize,
+    in_flight: usize,
+    /// Its live upstreams, and over them the sums of K_i and of 1 / (2*TP_i + TS_i).
+    pub(crate) live: usize,
+    k: Sum,
+    n: Rates,
+    /// The same sums as of the last sweep, and whether they have changed since.
+    swept_k: f64,
+    swept_n: f64,
+    is_changed: bool,
+    /// Some class is sent by its trees.
+    has_class: bool,
+    pub(crate) trees: ByArea<Trees>,
+    /// Its classes that some upstream is shut to.
+    pub(crate) shut_classes: Vec<u32>,
+}
+
+/// The load of a room, and this proxy's part of what it can hold.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoomLoad {
+    pub(crate) queued: usize,
+    pub(crate) in_flight: usize,
+    pub(crate) slots: f64,
+    pub(crate) n_per_time: f64,
+}
+
+/// What an upstream adds to the sums of its rooms: K_i, and N_i per unit of time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Capacity {
+    pub(crate) k: f64,
+    pub(crate) n: f64,
+}
+
+/// The rooms that an upstream belongs to, in ascending order; the first is the whole fleet.
+pub(crate) type RoomList = Box<[u32]>;
+
+/// All rooms.
+#[derive(Debug)]
+pub(crate) struct Rooms {
+    rooms: Vec<Room>,
+    /// Which of them each class has.
+    room_of: Vec<u32>,
+    /// Rooms by the machine types that they are bound to, and those bound to none.
+    by_kind: FxHashMap<u32, Vec<u32>>,
+    any_kind: Vec<u32>,
+    /// Rooms whose sums have changed since the last sweep.
+    changed: Vec<u32>,
+    /// This proxy's part of the sums, as of the last sweep.
+    part: f64,
+}
+
+impl Rooms {
+    /// One room for the whole fleet, and one for each set of upstreams that some class is bound to; one for each class
+    /// that rules may keep from any upstream.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let mut rooms = Self {
+            rooms: vec![Room::default()],
+            room_of: Vec::new(),
+            by_kind: FxHashMap::default(),
+            any_kind: Vec::new(),
+            changed: Vec::new(),
+            part: 0.0,
+        };
+        let mut shared = FxHashMap::default();
+        shared.insert((&None, &None), 0);
+        for (number, class) in settings.classes.iter().enumerate() {
+            let bounds = (&class.zones, &class.kinds);
+            let can_be_barred = settings.barring && number < BARRED_CLASSES;
+            let found = shared.get(&bounds).copied().filter(|_| !can_be_barred);
+            let room = found.unwrap_or_else(|| {
+                let room = rooms.add(number, class);
+                if !can_be_barred {
+                    shared.insert(bounds, room);
+                }
+                room
+            });
+            rooms.rooms[room as usize].has_class = true;
+            rooms.room_of.push(room);
+        }
+        rooms
+    }
+
+    fn add(&mut self, number: usize, class: &Class) -> u32 {
+        let room = self.rooms.len() as u32;
+        self.rooms.push(Room { class: Some(number), ..Room::default() });
+        match &class.kinds {
+            None => self.any_kind.push(room),
+            Some(kinds) => {
+                for &kind in kinds {
+                    let rooms = self.by_kind.entry(kind).or_default();
+                    if rooms.last() != Some(&room) {
+                        rooms.push(room);
+                    }
+                }
+            }
+        }
+        room
+    }
+
+    /// The rooms of an upstream of this machine type, where `is_open` says whether it is open to a room's class.
+    pub(crate) fn of_upstream(&self, kind: u32, is_open: impl Fn(usize) -> bool) -> RoomList {
+        let bound = self.by_kind.get(&kind).into_iter().flatten();
+        let candidates = self.any_kind.iter().chain(bound).copied();
+        let open = |room: &u32| self.rooms[*room as usize].class.is_none_or(&is_open);
+        let mut list: Vec<u32> = std::iter::once(0).chain(candidates.filter(open)).collect();
+        list.sort_unstable();
+        list.dedup();
+        list.into_boxed_slice()
+    }
+
+    pub(crate) fn room_of(&self, class: usize) -> u32 {
+        self.room_of[class]
+    }
+
+    pub(crate) fn of_class(&self, class: usize) -> &Room {
+        &self.rooms[self.room_of[class] as usize]
+    }
+
+    pub(crate) fn of_class_mut(&mut self, class: usize) -> &mut Room {
+        &mut self.rooms[self.room_of[class] as usize]
+    }
+
+    /// A room, if some class is sent by its trees.
+    pub(crate) fn get_mut(&mut self, room: u32) -> Option<&mut Room> {
+        Some(&mut self.rooms[room as usize]).filter(|r| r.has_class)
+    }
+
+    /// The load of the room that a class has.
+    pub(crate) fn load(&self, class: usize) -> RoomLoad {
+        self.load_of(self.of_class(class))
+    }
+
+    /// The load of the whole fleet.
+    pub(crate) fn whole(&self) -> RoomLoad {
+        self.load_of(&self.rooms[0])
+    }
+
+    fn load_of(&self, room: &Room) -> RoomLoad {
+        RoomLoad {
+            queued: room.queued,
+            in_flight: room.in_flight,
+            slots: room.swept_k * self.part,
+            n_per_time: room.swept_n * self.part,
+        }
+    }
+
+    // ------------------------------------------------------------ counts and sums
+
+    /// Counts a live upstream in its rooms or out of them, and what is out at it.
+    pub(crate) fn count(&mut self, list: &[u32], live: isize, in_flight: isize) {
+        for &room in list {
+            let room = &mut self.rooms[room as usize];
+            room.live = room.live.saturating_add_signed(live);
+            room.in_flight = room.in_flight.saturating_add_signed(in_flight);
+        }
+    }
+
+    /// Counts a held request, or one that is held no more, in the rooms that its class has a part in.
+    pub(crate) fn count_queued(&mut self, class: usize, change: isize) {
+        let whole = &mut self.rooms[0];
+        whole.queued = whole.queued.saturating_add_signed(change);
+        let own = self.room_of[class] as usize;
+        if own != 0 {
+            let room = &mut self.rooms[own];
+            room.queued = room.queued.saturating_add_signed(change);
+        }
+    }
+
+    /// Puts what an upstream adds to the sums in the place of what it added.
+    pub(crate) fn sum(&mut self, list: &[u32], was: Option<Capacity>, now: Option<Capacity>) {
+        for &number in list {
+            let room = &mut self.rooms[number as usize];
+            room.k.change(was.map(|c| c.k), now.map(|c| c.k));
+            room.n.change(was.map(|c| c.n), now.map(|c| c.n));
+            if !std::mem::replace(&mut room.is_changed, true) {
+                self.changed.push(number);
+            }
+        }
+    }
+
+    /// A sweep: the sums count as they are now, and this proxy's part of them is `part`.
+    pub(crate) fn sweep(&mut self, part: f64) {
+        self.part = part;
+        for number in self.changed.drain(..) {
+            let room = &mut self.rooms[number as usize];
+            room.is_changed = false;
+            (room.swept_k, room.swept_n) = (room.k.get(), room.n.get());
+        }
+    }
+}
+
+/// A class that some upstream is shut to, and the upstreams of its room that it may be sent to all the same.
+#[derive(Debug)]
+pub(crate) struct ShutClass {
+    /// Live upstreams that are shut to it.
+    pub(crate) count: usize,
+    /// So much of its room is shut that it is open all the same.
+    pub(crate) is_panicking: bool,
+    /// Those of the spotted ones with a free slot that are open to it.
+    pub(crate) open: ByArea<Winners>,
+}
+
+impl ShutClass {
+    /// Of a room whose spotted upstreams were all open to the class so far.
+    pub(crate) fn new(room: &Room) -> Self {
+        let open = room.trees.map(|trees| trees.spotted.clone());
+        Self { count: 0, is_panicking: false, open }
+    }
+
+    /// The key with which an upstream stands for this class.
+    pub(crate) fn key(&self, key: Key, is_shut: bool) -> Key {
+        if is_shut && !self.is_panicking { Key::OUT } else { key }
+    }
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -5,6 +5,7 @@
 use hollowpaddle_order::waiting::Turn;
 
 use crate::interface::*;
+use crate::policy::MOST_LANES;
 
 /// A sum over the fleet of figures below 8 million.
 pub(crate) type Sum = Total<40>;
@@ -19,7 +20,7 @@
     /// Repeats of one class, by where they may still go.
     Again(usize, Bound),
     /// Requests that were never sent, by room.
-    Fresh(usize),
+    Fresh(u32),
 }
 
 /// The upstreams that a repeat is bound to.
@@ -175,45 +176,8 @@
     }
 }
 
-/// What the upstreams that one set of classes may be sent to hold and can hold. The first room is the whole
-/// fleet; a class bound to zones or kinds has a room of its own. Failure: refused and held by the sums of the
-/// whole fleet, a bound class queued behind slots it could never have.
-#[derive(Debug, Default)]
-pub(crate) struct Room {
-    /// A class that is bound so; `None` for the whole fleet.
-    pub(crate) class: Option<usize>,
-    pub(crate) queued: usize,
-    pub(crate) in_flight: usize,
-    /// Its live upstreams, and over them the sums of K_i and of 1 / (2*TP_i + TS_i).
-    pub(crate) live: usize,
-    pub(crate) k: Sum,
-    pub(crate) n: Rates,
-    /// This proxy's part of these sums.
-    pub(crate) slots: f64,
-    pub(crate) n_per_time: f64,
-}
-
-impl Room {
-    /// Puts what an upstream adds to the sums in the place of what it added.
-    pub(crate) fn sum(&mut self, was: Option<(f64, f64)>, now: Option<(f64, f64)>) {
-        self.k.change(was.map(|w| w.0), now.map(|n| n.0));
-        self.n.change(was.map(|w| w.1), now.map(|n| n.1));
-    }
-
-    pub(crate) fn share(&mut self, part: f64) {
-        (self.slots, self.n_per_time) = (self.k.get() * part, self.n.get() * part);
-    }
-}
-
-/// A tenant's share at this proxy, as a bucket of requests.
-#[derive(Debug)]
-pub(crate) struct Quota {
-    pub(crate) tokens: f64,
-    pub(crate) counted: Time,
-}
-
 /// What is known of so many requests side by side at upstreams of one kind.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Level {
     /// This round: time spent at the level, and work done there.
     pub(crate) time: f64,
@@ -237,24 +201,8 @@
     }
 }
 
-impl Settings {
-    /// One room for the whole fleet, and one for each set of upstreams that some class is bound to; one for each class,
-    /// where rules may keep any of them from any upstream.
-    pub(crate) fn rooms(&self) -> (Vec<Room>, Vec<usize>) {
-        let (mut rooms, mut room_of) = (vec![Room::default()], Vec::new());
-        for (i, c) in self.classes.iter().enumerate() {
-            let like = |r: &Room| {
-                let of = r.class.map(|o| &self.classes[o]);
-                of.map(|o| (&o.zones, &o.kinds)).unwrap_or((&None, &None)) == (&c.zones, &c.kinds)
-            };
-            let shared = rooms.iter().position(like).filter(|_| !self.barring);
-            room_of.push(shared.unwrap_or_else(|| {
-                rooms.push(Room { class: Some(i), ..Room::default() });
-                rooms.len() - 1
-            }));
-        }
-        (rooms, room_of)
-    }
+impl Level {
+    const NONE: Self = Self { time: 0.0, done: 0.0, all: 0.0, expected: 0.0 };
 }
 
 /// What the fleet as a whole sustains for this proxy.
@@ -269,27 +217,17 @@
     pub(crate) dev: Vec<f64>,
     /// Share of the attempts for which the time of a second copy came and that were never answered.
     pub(crate) hopeless: Vec<f64>,
-    /// The longest wait that each class can bear, and the part of it that a class may use.
+    /// The longest wait that each class can bear.
     pub(crate) bearable: f64,
-    pub(crate) part: Vec<f64>,
     pub(crate) tp2: f64,
     /// The sum of those that are known, and how many are.
     pub(crate) tp2_sum: Times,
     pub(crate) tp2_seen: usize,
-    /// By kind of upstream.
-    pub(crate) lanes: Vec<Lanes>,
     pub(crate) tried: Time,
     /// This proxy's limit in even parts of the bank, and TS as it was in good times. Failure: judged by the
     /// TS of the moment, a whole bank that crowds itself never looks crowded.
     pub(crate) leeway: f64,
     pub(crate) good: f64,
-    /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit of weight
-    /// that was seen lately, by kind and over all.
-    pub(crate) warm_served: Vec<f64>,
-    /// The weight that served them: the most there was, decaying as their count does.
-    pub(crate) warm_past: Vec<f64>,
-    pub(crate) warm_rate: Vec<f64>,
-    pub(crate) any_rate: f64,
     pub(crate) counted: Time,
     /// TS as of then.
     pub(crate) paced: f64,
@@ -303,5 +241,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Lanes {
     pub(crate) count: usize,
-    pub(crate) level: Vec<Level>,
+    pub(crate) level: [Level; MOST_LANES + 1],
+}
+
+impl Lanes {
+    /// Before any work was seen.
+    pub(crate) const FRESH: Self = Self { count: 1, level: [Level::NONE; MOST_LANES + 1] };
+
+    /// Whether nothing is known of them that a choice rests on.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.count == 1 && self.level.iter().all(|l| l.all == 0.0 && l.expected == 0.0)
+    }
 }
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -6,22 +6,34 @@
 
 use hollowpaddle_order::alarms::Alarms;
 use hollowpaddle_order::ring::{Place, Ring};
-use hollowpaddle_order::winners::{Key, Winners};
+use hollowpaddle_order::winners::Key;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::breakers::ClassBreakers;
 use crate::interface::*;
-use crate::state::{Bound, Breaker, Estimate, Room, Sum};
+use crate::machine_types::MachineTypes;
+use crate::rooms::{Capacity, RoomList, Rooms, ShutClass};
+use crate::state::{Bound, Breaker, Estimate};
 
 /// Points of the proxies on the ring: multiples of the golden ratio are even for any run and every n-th.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 
+/// The table of upstreams grows by this part of itself, and by so many at least. Doubled, it would hold up to twice the
+/// memory that a large fleet needs.
+const GROWTH: usize = 8;
+const LEAST_GROWTH: usize = 16;
+
 /// One upstream: what the list says of it, and what the module knows and believes.
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) id: ServerId,
     pub(crate) zone: u32,
-    pub(crate) kind: u32,
+    /// Its machine type as the list has it, and the number under which figures of it are kept.
+    kind: u32,
+    pub(crate) kept_kind: u32,
     pub(crate) cell: u32,
+    /// Its index among the live ones of its cell.
+    cell_index: u32,
     pub(crate) status: Status,
     pub(crate) weight: f64,
     pub(crate) started: Option<Time>,
@@ -31,12 +43,10 @@
     /// When that last changed.
     pub(crate) changed: Time,
     /// How many were out, as its last answer was booked; 0 if something was sent since.
-    pub(crate) done_at: usize,
+    pub(crate) done_at: u32,
     /// Turned away or out of reach; and, class by class, unanswered or in error.
     pub(crate) breaker: Breaker,
-    pub(crate) by_class: Vec<Breaker>,
-    /// From then on surely none of the latter is shut.
-    pub(crate) clear_from: Time,
+    pub(crate) by_class: ClassBreakers,
     /// When the latest-sent of its answered attempts was sent.
     pub(crate) answered: Time,
     pub(crate) est: Estimate,
@@ -54,13 +64,13 @@
     /// Until when idle connections are closed again and again, where a rule asks for it.
     pub(crate) close_until: Time,
     /// Attempts of live requests that went there.
-    pub(crate) refs: usize,
-    /// What of K_i and N_i is in the sums of its rooms; its weight, if it is in that of its kind as warm.
-    summed: Option<(f64, f64)>,
-    warm: Option<f64>,
-    /// Whether some class was shut when it last stood, and which ones.
-    spotted: bool,
-    shut: Vec<bool>,
+    pub(crate) refs: u32,
+    rooms: RoomList,
+    /// Whether K_i and N_i are in the sums of its rooms, and its weight in that of its kind as warm.
+    is_summed: bool,
+    is_warm: bool,
+    /// Whether some class was shut when it last stood.
+    is_spotted: bool,
 }
 
 impl Server {
@@ -70,13 +80,6 @@
     }
 }
 
-/// Upstreams with a free slot, by cost: those open to all classes by room, those shut to some by class.
-#[derive(Clone, Debug)]
-struct Free {
-    room: Vec<Winners>,
-    class: Vec<Winners>,
-}
-
 /// What an entry of a list changed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Change {
@@ -107,29 +110,22 @@
     pub(crate) servers: Vec<Server>,
     vacant: Vec<usize>,
     departed: Vec<usize>,
-    pub(crate) by_id: FxHashMap<ServerId, usize>,
+    pub(crate) by_id: FxHashMap<ServerId, u32>,
     /// Live ones as they lie on the ring, each zone's on its own where crossing has a price; and by cell.
     pub(crate) ring: Ring,
-    cells: FxHashMap<(u32, u32), Vec<usize>>,
-    /// By area: zones where keys bind some class to them, else the whole fleet.
-    free: Vec<Free>,
+    cells: FxHashMap<(u32, u32), Vec<u32>>,
+    /// Whether keys bind some class to a zone: trees are kept by zone then.
     zoned: bool,
-    pub(crate) rooms: Vec<Room>,
-    /// Which of them each class has.
-    pub(crate) room_of: Vec<usize>,
-    /// Live upstreams that are shut to each class.
-    pub(crate) shut: Vec<usize>,
-    /// Weight of the warm ones, by kind.
-    pub(crate) warm_weight: Vec<Sum>,
+    pub(crate) rooms: Rooms,
+    /// Classes that some upstream is shut to.
+    shut: FxHashMap<u32, ShutClass>,
+    pub(crate) kinds: MachineTypes,
     /// When one that rests is to be looked at again.
     pub(crate) alarms: Alarms,
 }
 
 impl Upstreams {
     pub(crate) fn new(settings: Arc<Settings>) -> Self {
-        let (rooms, room_of) = settings.rooms();
-        let classes = settings.classes.len();
-        let winners = |n| vec![Winners::default(); n];
         Self {
             servers: Vec::new(),
             vacant: Vec::new(),
@@ -137,25 +133,29 @@
             by_id: FxHashMap::default(),
             ring: Ring::default(),
             cells: FxHashMap::default(),
-            free: vec![Free { room: winners(rooms.len()), class: winners(classes) }],
             zoned: settings.classes.iter().any(|c| c.group == Group::Zone),
-            rooms,
-            room_of,
-            shut: vec![0; classes],
-            warm_weight: Vec::new(),
+            rooms: Rooms::new(&settings),
+            shut: FxHashMap::default(),
+            kinds: MachineTypes::new(&settings),
             alarms: Alarms::default(),
             sharers: f64::from(settings.balancers),
             settings,
         }
     }
 
-    /// Zones and kinds that a class is bound to, and upstreams that it is kept from.
-    pub(crate) fn open_to(&self, class: Option<usize>, s: &Server) -> bool {
-        let Some(i) = class else { return true };
-        let c = &self.settings.classes[i];
-        !(self.settings.barring && bars(s.barred, i))
-            && c.zones.as_ref().is_none_or(|z| z.contains(&s.zone))
-            && c.kinds.as_ref().is_none_or(|k| k.contains(&s.kind))
+    /// Whether an upstream is of a zone and kind that a class is bound to, and the class not kept from it.
+    pub(crate) fn is_open(&self, class: usize, s: &Server) -> bool {
+        s.rooms.binary_search(&self.rooms.room_of(class)).is_ok()
+    }
+
+    /// The rooms that an upstream belongs to.
+    fn rooms_of(&self, s: &Server) -> RoomList {
+        self.rooms.of_upstream(s.kind, |class| {
+            let c = &self.settings.classes[class];
+            !(self.settings.barring && bars(s.barred, class))
+                && c.zones.as_ref().is_none_or(|z| z.contains(&s.zone))
+                && c.kinds.as_ref().is_none_or(|k| k.contains(&s.kind))
+        })
     }
 
     pub(crate) fn in_bound(&self, bound: Bound, server: usize) -> bool {
@@ -167,94 +167,137 @@
         }
     }
 
-    fn area(&self, zone: u32) -> usize {
-        if self.zoned { zone as usize } else { 0 }
+    fn area(&self, zone: u32) -> u32 {
+        if self.zoned { zone } else { 0 }
     }
 
     // ------------------------------------------------------------ who stands where
 
-    /// Books how an upstream stands; `shut` tells whether it is to a class, and `panic` whether that counts.
-    pub(crate) fn stand(
-        &mut self,
-        server: usize,
-        standing: Standing,
-        shut: impl Fn(&Server, usize) -> bool,
-        panic: &[bool],
-    ) {
+    /// Books how an upstream stands.
+    pub(crate) fn stand(&mut self, now: Time, server: usize, standing: Standing) {
+        let area = self.area(self.servers[server].zone);
         let s = &mut self.servers[server];
-        let (kind, zone, spotted) = (s.kind as usize, s.zone, standing.spotted);
-        let was_spotted = std::mem::replace(&mut s.spotted, spotted);
-        let warm = standing.warm.then_some(s.weight);
-        if s.warm != warm {
-            self.warm_weight[kind].change(std::mem::replace(&mut s.warm, warm), warm);
+        if std::mem::replace(&mut s.is_warm, standing.warm) != standing.warm {
+            self.kinds.change_warm(s.kept_kind, s.weight, standing.warm);
+        }
+        let was_spotted = std::mem::replace(&mut s.is_spotted, standing.spotted);
+        let (clear, spotted) =
+            if standing.spotted { (Key::OUT, standing.key) } else { (standing.key, Key::OUT) };
+        for &number in &s.rooms {
+            let Some(room) = self.rooms.get_mut(number) else { continue };
+            let trees = room.trees.get_mut(area);
+            trees.clear.set(server, clear);
+            trees.spotted.set(server, spotted);
         }
-        let area = self.area(zone);
-        for r in 0..self.rooms.len() {
-            let open = !spotted && self.open_to(self.rooms[r].class, &self.servers[server]);
-            self.free[area].room[r].set(server, if open { standing.key } else { Key::OUT });
+        if was_spotted || standing.spotted {
+            self.count_shut(now, server);
+            self.stand_by_class(now, server, spotted);
         }
-        if !spotted && !was_spotted {
-            return;
+    }
+
+    /// Counts an upstream with the classes that it is shut to, and no longer with those that it was.
+    fn count_shut(&mut self, now: Time, server: usize) {
+        let s = &self.servers[server];
+        let shut = s.by_class.shut(now).map(|b| b.class).filter(|_| s.is_spotted);
+        let shut: Vec<u32> = shut.filter(|class| self.is_open(*class as usize, s)).collect();
+        for &class in &shut {
+            let room = self.rooms.of_class_mut(class as usize);
+            let new = || {
+                room.shut_classes.push(class);
+                ShutClass::new(room)
+            };
+            self.shut.entry(class).or_insert_with(new).count += 1;
         }
-        for (c, panic) in panic.iter().enumerate() {
-            let s = &self.servers[server];
-            let open = spotted && self.open_to(Some(c), s);
-            let shut = open && shut(s, c);
-            let key = if open && (!shut || *panic) { standing.key } else { Key::OUT };
-            self.free[area].class[c].set(server, key);
-            let counted = std::mem::replace(&mut self.servers[server].shut[c], shut);
-            self.shut[c] = self.shut[c] + usize::from(shut) - usize::from(counted);
+        for class in self.servers[server].by_class.count(shut) {
+            if let Some(of) = self.shut.get_mut(&class) {
+                of.count -= 1;
+            }
         }
     }
 
-    /// Brings what an upstream adds to the sums of its rooms up to date; nothing unless it is live.
-    pub(crate) fn sum(&mut self, server: usize) {
+    /// Puts an upstream into the trees of the classes that some upstream is shut to.
+    fn stand_by_class(&mut self, now: Time, server: usize, key: Key) {
+        let area = self.area(self.servers[server].zone);
         let s = &self.servers[server];
-        let now = (s.status == Status::Live).then_some((s.k, s.n));
-        if s.summed == now {
-            return;
+        for &number in &s.rooms {
+            let Some(room) = self.rooms.get_mut(number) else { continue };
+            for class in &room.shut_classes {
+                let Some(of) = self.shut.get_mut(class) else { continue };
+                let key = of.key(key, s.by_class.is_shut(now, *class as usize));
+                of.open.get_mut(area).set(server, key);
+            }
         }
-        let was = std::mem::replace(&mut self.servers[server].summed, now);
-        for r in 0..self.rooms.len() {
-            if self.open_to(self.rooms[r].class, &self.servers[server]) {
-                self.rooms[r].sum(was, now);
+    }
+
+    /// Whether so much of a class's room is shut to it that it is open to it all the same.
+    pub(crate) fn is_panicking(&self, class: usize) -> bool {
+        self.shut.get(&(class as u32)).is_some_and(|of| of.is_panicking)
+    }
+
+    /// Looks anew at which classes are shut by more than this share of their rooms.
+    pub(crate) fn refresh_panic(&mut self, share: f64) {
+        let rooms = &mut self.rooms;
+        self.shut.retain(|class, of| {
+            let room = rooms.of_class_mut(*class as usize);
+            of.is_panicking = of.count as f64 > room.live as f64 * share;
+            if of.count == 0 {
+                room.shut_classes.retain(|c| c != class);
             }
+            of.count > 0
+        });
+    }
+
+    /// Brings K_i and N_i of an upstream up to date, and the sums of its rooms; these only while it is live.
+    pub(crate) fn sum(&mut self, server: usize, now: Capacity) {
+        let s = &mut self.servers[server];
+        let was = Capacity { k: s.k, n: s.n };
+        (s.k, s.n) = (now.k, now.n);
+        let is_live = s.status == Status::Live;
+        let was_summed = std::mem::replace(&mut s.is_summed, is_live);
+        let (was, now) = (Some(was).filter(|_| was_summed), Some(now).filter(|_| is_live));
+        if was != now {
+            self.rooms.sum(&s.rooms, was, now);
         }
     }
 
     /// Of those that stood with a free slot for this class, the one with the least key.
     pub(crate) fn best(&mut self, class: usize, bound: Bound, without: &[usize]) -> Option<usize> {
-        let room = self.room_of[class];
-        let areas = match bound {
-            Bound::Zone(zone) if self.area(zone) >= self.free.len() => return None,
-            Bound::Zone(zone) => self.area(zone)..self.area(zone) + 1,
-            _ => 0..self.free.len(),
-        };
-        let of = |f: &mut Free| {
-            let best = f.room[room].best_without(without);
-            best.into_iter().chain(f.class[class].best_without(without)).min()
+        let area = match bound {
+            Bound::Zone(zone) => Some(self.area(zone)),
+            _ => None,
         };
-        self.free[areas].iter_mut().filter_map(of).min().map(|(_, server)| server)
+        let by_class = self.shut.get_mut(&(class as u32));
+        let is_shut_somewhere = by_class.is_some();
+        let trees = self.rooms.of_class_mut(class).trees.within(area);
+        let in_room = trees.filter_map(|trees| {
+            let clear = trees.clear.best_without(without);
+            let spotted = &mut trees.spotted;
+            let spotted = if is_shut_somewhere { None } else { spotted.best_without(without) };
+            clear.into_iter().chain(spotted).min()
+        });
+        let by_class = by_class.into_iter().flat_map(|of| of.open.within(area));
+        let open = by_class.filter_map(|tree| tree.best_without(without));
+        in_room.chain(open).min().map(|(_, server)| server)
     }
 
     /// The live ones of a cell.
-    pub(crate) fn cell(&self, zone: u32, cell: u32) -> &[usize] {
-        self.cells.get(&(zone, cell)).map_or(&[], |c| c)
+    pub(crate) fn cell(&self, zone: u32, cell: u32) -> impl Iterator<Item = usize> {
+        self.cells.get(&(zone, cell)).into_iter().flatten().map(|slot| *slot as usize)
     }
 
     /// Whether there is a live one within bounds that a class may be sent to, beside these.
     pub(crate) fn any(&self, class: usize, bound: Bound, beside: &[usize]) -> bool {
         let open = |i: &usize| {
             let s = &self.servers[*i];
-            s.status == Status::Live && self.open_to(Some(class), s) && self.in_bound(bound, *i)
+            s.status == Status::Live && self.is_open(class, s) && self.in_bound(bound, *i)
         };
         match bound {
             Bound::Any => {
                 let taken = beside.iter().filter(|i| open(i)).collect::<FxHashSet<_>>().len();
-                self.rooms[self.room_of[class]].live > taken
+                self.rooms.of_class(class).live > taken
             }
             Bound::Cell(zone, cell) => {
-                self.cell(zone, cell).iter().any(|i| open(i) && !beside.contains(i))
+                self.cell(zone, cell).any(|i| open(&i) && !beside.contains(&i))
             }
             Bound::Zone(_) => {
                 let mut all = (0..self.ring.len()).map(|j| self.ring.at(j).slot);
@@ -267,22 +310,7 @@
     pub(crate) fn count_in_flight(&mut self, server: usize, change: i32) {
         let s = &mut self.servers[server];
         s.in_flight = s.in_flight.saturating_add_signed(change);
-        for r in 0..self.rooms.len() {
-            if self.open_to(self.rooms[r].class, &self.servers[server]) {
-                let n = &mut self.rooms[r].in_flight;
-                *n = n.saturating_add_signed(change as isize);
-            }
-        }
-    }
-
-    /// Counts a held request, or one that is held no more, in the rooms that its class has a part in.
-    pub(crate) fn count_queued(&mut self, class: usize, change: isize) {
-        let own = self.room_of[class];
-        for (r, room) in self.rooms.iter_mut().enumerate() {
-            if r == 0 || r == own {
-                room.queued = room.queued.saturating_add_signed(change);
-            }
-        }
+        self.rooms.count(&s.rooms, 0, change as isize);
     }
 
     /// Live ones, and how many of them do not rest.
@@ -360,7 +388,7 @@
         if !kind.is_part() {
             let listed: FxHashSet<ServerId> = list.iter().map(|m| m.id).collect();
             let left = self.by_id.iter().filter(|(id, _)| !listed.contains(id));
-            let mut left: Vec<usize> = left.map(|(_, i)| *i).collect();
+            let mut left: Vec<usize> = left.map(|(_, slot)| *slot as usize).collect();
             left.sort_unstable();
             for i in left {
                 let s = &self.servers[i];
@@ -382,11 +410,10 @@
         m: &Member,
         moved: &mut (Vec<Place>, Vec<Place>),
     ) -> Option<Change> {
-        let kind = m.kind.min(255);
         let weight = if m.weight > 0.0 && m.weight.is_finite() { m.weight } else { 1.0 };
-        let known = self.by_id.get(&m.id).copied();
+        let known = self.by_id.get(&m.id).map(|slot| *slot as usize);
         if let Some(s) = known.map(|i| &self.servers[i]) {
-            let same = (s.zone, s.kind, s.cell, s.status) == (m.zone, kind, m.cell, m.status);
+            let same = (s.zone, s.kind, s.cell, s.status) == (m.zone, m.kind, m.cell, m.status);
             if same && (s.started, s.weight, s.barred) == (m.started, weight, m.barred) {
                 return None;
             }
@@ -398,17 +425,14 @@
         }
         self.enlist(server, -1);
         self.servers[server].status = Status::Gone;
-        self.withdraw(server);
+        self.withdraw(now, server);
         let s = &mut self.servers[server];
         let restarted = s.started != m.started && m.started.is_some();
-        (s.zone, s.kind, s.cell) = (m.zone, kind, m.cell);
+        (s.zone, s.kind, s.cell) = (m.zone, m.kind, m.cell);
         (s.status, s.started, s.weight, s.barred) = (m.status, m.started, weight, m.barred);
-        let kinds = (kind as usize + 1).max(self.warm_weight.len());
-        self.warm_weight.resize(kinds, Sum::default());
-        let areas = (self.area(m.zone) + 1).max(self.free.len());
-        let winners = |n| vec![Winners::default(); n];
-        let none = Free { room: winners(self.rooms.len()), class: winners(self.shut.len()) };
-        self.free.resize(areas, none);
+        s.kept_kind = self.kinds.enter(m.kind);
+        let rooms = self.rooms_of(&self.servers[server]);
+        self.servers[server].rooms = rooms;
         self.enlist(server, 1);
         match m.status {
             Status::Live => moved.1.push(self.place_of(server)),
@@ -421,12 +445,13 @@
     /// A slot for an upstream that was not known.
     fn newcomer(&mut self, now: Time, m: &Member) -> usize {
         let slot = self.vacant.pop().unwrap_or(self.servers.len());
-        let classes = self.settings.classes.len();
         let s = Server {
             id: m.id,
             zone: m.zone,
             kind: 0,
+            kept_kind: 0,
             cell: m.cell,
+            cell_index: 0,
             status: Status::Gone,
             weight: 1.0,
             started: None,
@@ -436,8 +461,7 @@
             changed: now,
             done_at: 0,
             breaker: Breaker::default(),
-            by_class: vec![Breaker::default(); classes],
-            clear_from: Time(i64::MIN),
+            by_class: ClassBreakers::default(),
             answered: Time(i64::MIN),
             est: Estimate::NONE,
             k: 1.0,
@@ -449,51 +473,61 @@
             reach: 0.0,
             close_until: now,
             refs: 0,
-            summed: None,
-            warm: None,
-            spotted: false,
-            shut: vec![false; classes],
+            rooms: RoomList::default(),
+            is_summed: false,
+            is_warm: false,
+            is_spotted: false,
         };
         if slot == self.servers.len() {
+            if self.servers.len() == self.servers.capacity() {
+                self.servers.reserve_exact(self.servers.len() / GROWTH + LEAST_GROWTH);
+            }
             self.servers.push(s)
         } else {
             self.servers[slot] = s
         }
-        self.by_id.insert(m.id, slot);
+        self.by_id.insert(m.id, slot as u32);
         slot
     }
 
     /// Takes one that is not live any more out of all sums and trees.
-    fn withdraw(&mut self, server: usize) {
-        if self.servers[server].warm.is_some() || self.servers[server].summed.is_some() {
-            let standing = Standing { key: Key::OUT, warm: false, spotted: false };
-            let panic = vec![false; self.shut.len()];
-            self.stand(server, standing, |_, _| false, &panic);
-            self.sum(server);
+    fn withdraw(&mut self, now: Time, server: usize) {
+        let s = &self.servers[server];
+        if s.is_warm || s.is_summed {
+            let as_it_is = Capacity { k: s.k, n: s.n };
+            self.stand(now, server, Standing { key: Key::OUT, warm: false, spotted: false });
+            self.sum(server, as_it_is);
         }
     }
 
     /// Counts a live upstream in its cell and rooms or out of them, and what is out at it in any case.
     fn enlist(&mut self, server: usize, change: isize) {
         let s = &self.servers[server];
-        let (place, out) = ((s.zone, s.cell), change * s.in_flight as isize);
         let live = if s.status == Status::Live { change } else { 0 };
+        self.rooms.count(&s.rooms, live, change * s.in_flight as isize);
         if live > 0 {
-            self.cells.entry(place).or_default().push(server);
-        } else if live < 0
-            && let Some(cell) = self.cells.get_mut(&place)
-        {
-            cell.retain(|i| *i != server);
-            if cell.is_empty() {
-                self.cells.remove(&place);
-            }
+            self.enter_cell(server);
+        } else if live < 0 {
+            self.leave_cell(server);
         }
-        for r in 0..self.rooms.len() {
-            if self.open_to(self.rooms[r].class, &self.servers[server]) {
-                let room = &mut self.rooms[r];
-                room.live = room.live.saturating_add_signed(live);
-                room.in_flight = room.in_flight.saturating_add_signed(out);
-            }
+    }
+
+    fn enter_cell(&mut self, server: usize) {
+        let s = &mut self.servers[server];
+        let cell = self.cells.entry((s.zone, s.cell)).or_default();
+        s.cell_index = cell.len() as u32;
+        cell.push(server as u32);
+    }
+
+    fn leave_cell(&mut self, server: usize) {
+        let s = &self.servers[server];
+        let (place, index) = ((s.zone, s.cell), s.cell_index as usize);
+        let Some(cell) = self.cells.get_mut(&place) else { return };
+        cell.swap_remove(index);
+        if let Some(&moved) = cell.get(index) {
+            self.servers[moved as usize].cell_index = index as u32;
+        } else if cell.is_empty() {
+            self.cells.remove(&place);
         }
     }
 
@@ -503,7 +537,7 @@
     pub(crate) fn forget(&mut self, now: Time, mut dropped: impl FnMut(&Estimate)) {
         for i in std::mem::take(&mut self.departed) {
             let s = &self.servers[i];
-            if s.status != Status::Gone || self.by_id.get(&s.id) != Some(&i) {
+            if s.status != Status::Gone || self.by_id.get(&s.id) != Some(&(i as u32)) {
                 continue;
             }
             if now < s.close_until || s.refs > 0 {
