Grow the tables of a large fleet without moving them, and bench the module by size

The bench 'capacity' gives memory, the cost of a request and of an idle second, and the longest event by upstreams and classes.

--- a/crates/order/src/ring.rs
+++ b/crates/order/src/ring.rs
@@ -22,6 +22,8 @@
 
 /// So many changes at once are searched and moved one by one; more are merged in one pass over the places.
 const FEW: usize = 4;
+/// The table grows by this part of itself at least.
+const GROWTH: usize = 8;
 
 impl Ring {
     /// How many there are.
@@ -67,25 +69,51 @@
         if out.len() + into.len() <= FEW {
             return self.change_one_by_one(out, into);
         }
-        let (mut out, mut into) = (out.to_vec(), into.to_vec());
+        self.remove_all(out);
+        self.insert_all(into);
+    }
+
+    fn remove_all(&mut self, out: &[Place]) {
+        let mut out = out.to_vec();
         out.sort_unstable();
-        into.sort_unstable();
-        into.dedup();
-        let Some(first) = out.first().into_iter().chain(into.first()).min() else { return };
+        let Some(first) = out.first() else { return };
         let unchanged = self.places.partition_point(|place| place < first);
-        let tail = self.places.split_off(unchanged);
-        self.places.reserve(tail.len() + into.len());
-        let mut into = into.into_iter().peekable();
-        for place in tail {
-            while let Some(new) = into.next_if(|new| *new < place) {
-                self.places.push(new);
+        let mut out = out.into_iter().peekable();
+        let mut kept = unchanged;
+        for at in unchanged..self.places.len() {
+            let place = self.places[at];
+            while out.next_if(|gone| *gone < place).is_some() {}
+            if out.peek() != Some(&place) {
+                self.places[kept] = place;
+                kept += 1;
             }
-            let stays = into.next_if_eq(&place).is_some() || out.binary_search(&place).is_err();
-            if stays {
-                self.places.push(place);
+        }
+        self.places.truncate(kept);
+    }
+
+    /// Merges from the last place to the first, so that each moves once.
+    fn insert_all(&mut self, into: &[Place]) {
+        let mut into = into.to_vec();
+        into.sort_unstable();
+        into.dedup();
+        into.retain(|place| self.find(*place).is_none());
+        let Some(&filler) = into.first() else { return };
+        let mut left = self.places.len();
+        if self.places.capacity() < left + into.len() {
+            self.places.reserve_exact(into.len().max(left / GROWTH));
+        }
+        self.places.resize(left + into.len(), filler);
+        let mut at = self.places.len();
+        while let Some(&new) = into.last() {
+            at -= 1;
+            if left > 0 && self.places[left - 1] > new {
+                left -= 1;
+                self.places[at] = self.places[left];
+            } else {
+                self.places[at] = new;
+                into.pop();
             }
         }
-        self.places.extend(into);
     }
 
     fn change_one_by_one(&mut self, out: &[Place], into: &[Place]) {
--- /dev/null
+++ b/crates/policy/benches/capacity.rs
@@ -0,0 +1,68 @@
+//! What the module costs by upstreams and classes: memory, the longest event, a request, an idle second.
+//! `cargo bench -p hollowpaddle-policy --bench capacity`; with numbers of upstreams, classes and rounds behind `--`, that
+//! row.
+
+#[path = "../tests/allocation/mod.rs"]
+mod allocation;
+#[path = "../tests/service_fleet/mod.rs"]
+mod service_fleet;
+
+use allocation::{Counting, bytes_in_use};
+use hollowpaddle_policy::interface::Span;
+use service_fleet::{ServiceFleet, settings};
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Rounds; figures are the least over them, since the machine interrupts some.
+const ROUNDS: u32 = 20;
+/// Requests of a round, and before the first one.
+const REQUESTS: u64 = 1000;
+/// An idle round.
+const IDLE_SECONDS: u32 = 2;
+
+fn row(upstreams: u32, classes: usize, rounds: u32) -> String {
+    let before = bytes_in_use();
+    let (mut fleet, list) = ServiceFleet::new(upstreams, settings(classes, 0));
+    fleet.run(REQUESTS);
+    let (mut request, mut longest) = (f64::MAX, f64::MAX);
+    for _ in 0..rounds {
+        let cost = fleet.run(REQUESTS);
+        request = request.min(cost.spent.as_secs_f64() * 1e6 / REQUESTS as f64);
+        longest = longest.min(cost.longest.as_secs_f64() * 1e6);
+    }
+    fleet.rest(Span(5_000_000));
+    let (mut idle, mut longest_idle) = (f64::MAX, f64::MAX);
+    for _ in 0..rounds {
+        let cost = fleet.rest(Span(i64::from(IDLE_SECONDS) * 1_000_000));
+        idle = idle.min(cost.spent.as_secs_f64() * 1e6 / f64::from(IDLE_SECONDS));
+        longest_idle = longest_idle.min(cost.longest.as_secs_f64() * 1e6);
+    }
+    let memory = (bytes_in_use() - before) as f64 / 1e6;
+    let list = list.longest.as_secs_f64() * 1e6;
+    let refused = 100.0 * fleet.refused as f64 / (fleet.refused + fleet.served) as f64;
+    format!(
+        "| {upstreams} | {classes} | {memory:.2} | {request:.2} | {longest:.0} | {idle:.0} | {longest_idle:.0} | {list:.0} | {refused:.1} |"
+    )
+}
+
+fn main() {
+    // `cargo test` builds benches too and runs them with this.
+    if std::env::args().any(|a| a == "--test") {
+        return;
+    }
+    println!(
+        "| upstreams | classes | memory, MB | request and answer, sweeps included, us | longest event, us | idle second, us | longest idle event, us | longest part of the list, us | refused, % |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let numbers: Vec<u32> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    if let [upstreams, classes, rounds] = numbers[..] {
+        println!("{}", row(upstreams, classes as usize, rounds));
+        return;
+    }
+    for classes in [3, 1300] {
+        for upstreams in [64, 1000, 10_000, 39_000] {
+            println!("{}", row(upstreams, classes, ROUNDS));
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod asking;
 mod breakers;
+mod chunked;
 mod gauges;
 pub mod interface;
 pub mod learned;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -380,6 +380,8 @@
     fn sweep(&mut self, now: Time, most: usize, of: Sweep) {
         let all = self.up.ring.len();
         let places: Vec<usize> = (0..most.min(all)).map(|n| (self.at + n) % all).collect();
+        let slots: Vec<usize> = places.iter().map(|j| self.up.ring.at(*j).slot).collect();
+        self.up.preload(&slots);
         let mut part = 0..0;
         for &j in &places {
             if !part.contains(&j) {
@@ -395,9 +397,7 @@
         if of == Sweep::Timer {
             self.refresh_lanes(now);
         }
-        for &j in &places {
-            self.refresh(now, self.up.ring.at(j).slot);
-        }
+        slots.into_iter().for_each(|slot| self.refresh(now, slot));
         self.at = places.last().map_or(0, |j| j + 1);
         if of == Sweep::Rest {
             self.owed = self.owed.saturating_sub(places.len());
@@ -998,7 +998,8 @@
 
     /// Sends that a young upstream has earned by now, kept for a while; `None` once warm.
     fn earned(&self, now: Time, s: &Server) -> Option<f64> {
-        let pace = self.warm_rate(s) * self.cold_share(now, s)?;
+        let share = self.cold_share(now, s)?;
+        let pace = self.warm_rate(s) * share;
         let earned = s.tokens + now.since(s.refilled).f().max(0.0) * pace;
         // Failure: what each of hundreds had kept for want of requests was spent in one burst by all.
         let kept = pace * self.settings.rules.tip_after.f() * KEPT_OF_WINDOW;
--- a/crates/policy/src/rooms.rs
+++ b/crates/policy/src/rooms.rs
@@ -1,6 +1,8 @@
 //! Rooms: the sets of upstreams that classes are bound to, with their sums and their trees of free upstreams. An
 //! upstream touches only the rooms that it belongs to. Decides nothing.
 
+use std::hint::black_box;
+
 use hollowpaddle_order::winners::{Key, Winners};
 use rustc_hash::FxHashMap;
 
@@ -207,6 +209,14 @@
         }
     }
 
+    /// Reads the sums of these rooms; see [`crate::upstreams::Upstreams::preload`].
+    pub(crate) fn preload(&self, list: &[u32]) {
+        for &room in list {
+            let room = &self.rooms[room as usize];
+            black_box((room.k, room.n, room.is_changed));
+        }
+    }
+
     // ------------------------------------------------------------ counts and sums
 
     /// Counts a live upstream in its rooms or out of them, and what is out at it.
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! The fleet as the module keeps it: who is there, where each lies on the ring, in which sums and trees each stands.
 //! Keeps books and answers questions at a cost that does not grow with the fleet; decides nothing.
 
+use std::hint::black_box;
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::breakers::ClassBreakers;
+use crate::chunked::Chunked;
 use crate::interface::*;
 use crate::machine_types::MachineTypes;
 use crate::rooms::{Capacity, RoomList, Rooms, ShutClass};
@@ -18,11 +20,6 @@
 /// Points of the proxies on the ring: multiples of the golden ratio are even for any run and every n-th.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 
-/// The table of upstreams grows by this part of itself, and by so many at least. Doubled, it would hold up to twice the
-/// memory that a large fleet needs.
-const GROWTH: usize = 8;
-const LEAST_GROWTH: usize = 16;
-
 /// One upstream: what the list says of it, and what the module knows and believes.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -71,6 +68,9 @@
     is_warm: bool,
     /// Whether some class was shut when it last stood.
     is_spotted: bool,
+    /// Whether it last stood with a free slot, and its cost then.
+    has_stood_free: bool,
+    cost_stood: f64,
 }
 
 impl Server {
@@ -107,7 +107,7 @@
     /// Proxies that send to each upstream known here: all of the bank, unless each has a part of the fleet.
     pub(crate) sharers: f64,
     /// By slot. A slot is its upstream's until that is gone and nothing was sent there that still lives.
-    pub(crate) servers: Vec<Server>,
+    pub(crate) servers: Chunked<Server>,
     vacant: Vec<usize>,
     departed: Vec<usize>,
     pub(crate) by_id: FxHashMap<ServerId, u32>,
@@ -127,7 +127,7 @@
 impl Upstreams {
     pub(crate) fn new(settings: Arc<Settings>) -> Self {
         Self {
-            servers: Vec::new(),
+            servers: Chunked::default(),
             vacant: Vec::new(),
             departed: Vec::new(),
             by_id: FxHashMap::default(),
@@ -181,6 +181,13 @@
             self.kinds.change_warm(s.kept_kind, s.weight, standing.warm);
         }
         let was_spotted = std::mem::replace(&mut s.is_spotted, standing.spotted);
+        let is_free = standing.key != Key::OUT;
+        let was_free = std::mem::replace(&mut s.has_stood_free, is_free);
+        let cost_stood = std::mem::replace(&mut s.cost_stood, s.cost);
+        let stands_alike = is_free == was_free && (!is_free || s.cost == cost_stood);
+        if stands_alike && !was_spotted && !standing.spotted {
+            return;
+        }
         let (clear, spotted) =
             if standing.spotted { (Key::OUT, standing.key) } else { (standing.key, Key::OUT) };
         for &number in &s.rooms {
@@ -319,6 +326,18 @@
         (self.ring.len(), all.filter(|s| now >= s.breaker.until).count())
     }
 
+    /// Reads what a sweep over these upstreams needs. The processor overlaps reads that do not depend on each other, so
+    /// that a large fleet, which no cache holds, is swept at little more than the cost of a small one.
+    pub(crate) fn preload(&self, slots: &[usize]) {
+        for &slot in slots {
+            let s = &self.servers[slot];
+            black_box((s.weight, s.refilled, s.k, s.close_until, s.status));
+        }
+        for &slot in slots {
+            self.rooms.preload(&self.servers[slot].rooms);
+        }
+    }
+
     // ------------------------------------------------------------ the ring
 
     fn priced(&self) -> bool {
@@ -477,11 +496,10 @@
             is_summed: false,
             is_warm: false,
             is_spotted: false,
+            has_stood_free: false,
+            cost_stood: 0.0,
         };
         if slot == self.servers.len() {
-            if self.servers.len() == self.servers.capacity() {
-                self.servers.reserve_exact(self.servers.len() / GROWTH + LEAST_GROWTH);
-            }
             self.servers.push(s)
         } else {
             self.servers[slot] = s
