--- a/crates/policy/benches/capacity.rs
+++ b/crates/policy/benches/capacity.rs
@@ -1,6 +1,6 @@
 //! What the module costs by upstreams and classes: memory, the longest event, a request, an idle second.
-//! `cargo bench -p hollowpaddle-policy --bench capacity`; with numbers of upstreams, classes and rounds behind `--`, that
-//! row.
+//! `cargo bench -p hollowpaddle-policy --bench capacity`; with numbers of upstreams, classes, classes in use and rounds
+//! behind `--`, that row.
 
 #[path = "../tests/allocation/mod.rs"]
 mod allocation;
@@ -9,7 +9,7 @@
 
 use allocation::{Counting, bytes_in_use};
 use hollowpaddle_policy::interface::Span;
-use service_fleet::{ServiceFleet, settings};
+use service_fleet::{CLASSES_IN_USE, ServiceFleet, settings};
 
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
@@ -21,9 +21,9 @@
 /// An idle round.
 const IDLE_SECONDS: u32 = 2;
 
-fn row(upstreams: u32, classes: usize, rounds: u32) -> String {
+fn row(upstreams: u32, classes: usize, used: usize, rounds: u32) -> String {
     let before = bytes_in_use();
-    let (mut fleet, list) = ServiceFleet::new(upstreams, settings(classes, 0));
+    let (mut fleet, list) = ServiceFleet::new(upstreams, settings(classes, 0), used);
     fleet.run(REQUESTS);
     let (mut request, mut longest) = (f64::MAX, f64::MAX);
     for _ in 0..rounds {
@@ -42,7 +42,7 @@
     let list = list.longest.as_secs_f64() * 1e6;
     let refused = 100.0 * fleet.refused as f64 / (fleet.refused + fleet.served) as f64;
     format!(
-        "| {upstreams} | {classes} | {memory:.2} | {request:.2} | {longest:.0} | {idle:.0} | {longest_idle:.0} | {list:.0} | {refused:.1} |"
+        "| {upstreams} | {classes} | {used} | {memory:.2} | {request:.2} | {longest:.0} | {idle:.0} | {longest_idle:.0} | {list:.0} | {refused:.1} |"
     )
 }
 
@@ -52,17 +52,17 @@
         return;
     }
     println!(
-        "| upstreams | classes | memory, MB | request and answer, sweeps included, us | longest event, us | idle second, us | longest idle event, us | longest part of the list, us | refused, % |"
+        "| upstreams | classes | in use | memory, MB | request and answer, sweeps included, us | longest event, us | idle second, us | longest idle event, us | longest part of the list, us | refused, % |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let numbers: Vec<u32> = std::env::args().filter_map(|a| a.parse().ok()).collect();
-    if let [upstreams, classes, rounds] = numbers[..] {
-        println!("{}", row(upstreams, classes as usize, rounds));
+    if let [upstreams, classes, used, rounds] = numbers[..] {
+        println!("{}", row(upstreams, classes as usize, used as usize, rounds));
         return;
     }
-    for classes in [3, 1300] {
+    for (classes, used) in [(3, 3), (1300, 3), (1300, CLASSES_IN_USE)] {
         for upstreams in [64, 1000, 10_000, 39_000] {
-            println!("{}", row(upstreams, classes, ROUNDS));
+            println!("{}", row(upstreams, classes, used, ROUNDS));
         }
     }
 }
--- a/crates/policy/tests/service_fleet/mod.rs
+++ b/crates/policy/tests/service_fleet/mod.rs
@@ -13,7 +13,7 @@
 
 /// Requests a second that one balancer of the target fleet gets on average.
 pub const REQUESTS_PER_SECOND: f64 = 221.0;
-/// Classes that get requests.
+/// Classes that get requests at one balancer of the target fleet.
 pub const CLASSES_IN_USE: usize = 30;
 /// Zones of the target fleet.
 const ZONES: u32 = 11;
@@ -49,6 +49,8 @@
     cost: Cost,
     pub served: u64,
     pub refused: u64,
+    /// How answers end.
+    pub outcome: Outcome,
 }
 
 /// Settings with so many classes, each bound to its own machine type.
@@ -68,17 +70,17 @@
     s
 }
 
-/// The classes that get requests, spread evenly over all.
-fn in_use(classes: usize) -> Vec<usize> {
-    let used = CLASSES_IN_USE.min(classes);
+/// So many classes that get requests, spread evenly over all.
+fn spread(used: usize, classes: usize) -> Vec<usize> {
     (0..used).map(|n| n * classes / used).collect()
 }
 
 /// Live upstreams, spread evenly over the machine types of the classes, those of classes in use first: they have upstreams
 /// also in a fleet of fewer upstreams than classes.
-pub fn members(upstreams: u32, classes: usize) -> Vec<Member> {
-    let mut kinds = in_use(classes);
-    kinds.extend((0..classes).filter(|class| !in_use(classes).contains(class)));
+pub fn members(upstreams: u32, classes: usize, used: usize) -> Vec<Member> {
+    let in_use = spread(used, classes);
+    let idle = (0..classes).filter(|class| !in_use.contains(class));
+    let kinds: Vec<usize> = in_use.iter().copied().chain(idle).collect();
     let member = |i: u32| Member {
         kind: kinds[i as usize % classes] as u32,
         zone: i / classes as u32 % ZONES,
@@ -90,8 +92,8 @@
 }
 
 impl ServiceFleet {
-    /// A balancer that has been given its list, and what that cost.
-    pub fn new(upstreams: u32, settings: Settings) -> (Self, Cost) {
+    /// A balancer that has been given its list, and what that cost. So many of its classes get requests.
+    pub fn new(upstreams: u32, settings: Settings, used: usize) -> (Self, Cost) {
         let classes = settings.classes.len();
         let mut fleet = Self {
             module: Balancer::new(settings, 1, Time(0)).expect("sound settings"),
@@ -99,14 +101,15 @@
             now: 0,
             next: 0.0,
             due: BinaryHeap::new(),
-            in_use: in_use(classes),
+            in_use: spread(used, classes),
             last: 0,
             out: Vec::new(),
             cost: Cost::default(),
             served: 0,
             refused: 0,
+            outcome: Outcome::Ok,
         };
-        for part in members(upstreams, classes).chunks(PART) {
+        for part in members(upstreams, classes, used).chunks(PART) {
             fleet.handle(Event::Members { kind: ListKind::Update, list: part });
         }
         let cost = std::mem::take(&mut fleet.cost);
@@ -153,7 +156,7 @@
                 self.served += 1;
                 let latency = Span(at - sent);
                 let (id, of) = (RequestId(request), ServerId(server));
-                let answer = Answer::new(id, 0, of, Outcome::Ok, latency, true);
+                let answer = Answer::new(id, 0, of, self.outcome, latency, true);
                 self.handle(Event::Answered(answer));
             }
         }
--- /dev/null
+++ b/crates/policy/tests/slopes.rs
@@ -0,0 +1,138 @@
+//! What one more upstream, class or tenant costs the module, in bytes and in work. Each bound is a named constant; the
+//! fleet that they are for stands in `docs/CAPACITY.md`.
+
+mod allocation;
+mod service_fleet;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use allocation::{Counting, bytes_in_use};
+use hollowpaddle_policy::interface::{Outcome, Span};
+use service_fleet::{CLASSES_IN_USE, Cost, ServiceFleet, settings};
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// One more upstream, its place in every order included. 39,000 of them hold 20 MB.
+const BYTES_PER_UPSTREAM: usize = 520;
+/// One more class that gets no requests, with its settings, before any number of upstreams.
+const BYTES_PER_IDLE_CLASS: usize = 2500;
+/// One more tenant that sends nothing: its quota and share in the settings.
+const BYTES_PER_IDLE_TENANT: usize = 17;
+/// What may be left once all upstreams have answered again, as a share of what faults added: timers and queues keep the
+/// capacity that they grew to.
+const LEFT_AFTER_FAULTS: f64 = 0.5;
+/// An idle second with 1,300 classes against one with three, before the same upstreams. It was over 300 while the module
+/// walked all classes; the machine that runs this may be busy.
+const IDLE_COST_BY_CLASSES: f64 = 5.0;
+/// A request with 1,300 classes against one with three, where three get requests.
+const REQUEST_COST_BY_CLASSES: f64 = 5.0;
+/// An idle second before 8,000 upstreams against one before 1,000.
+const IDLE_COST_BY_UPSTREAMS: f64 = 5.0;
+/// Rounds of a timing; the least counts.
+const ROUNDS: u32 = 5;
+
+/// The allocator counts for the whole process: one test at a time.
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE: Mutex<()> = Mutex::new(());
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Bytes that a module holds after some traffic.
+fn bytes(upstreams: u32, classes: usize, tenants: usize) -> usize {
+    let before = bytes_in_use();
+    let used = CLASSES_IN_USE.min(classes);
+    let (mut fleet, _) = ServiceFleet::new(upstreams, settings(classes, tenants), used);
+    fleet.run(500);
+    fleet.rest(Span(10_000_000));
+    bytes_in_use() - before
+}
+
+fn least(mut round: impl FnMut() -> Cost) -> Duration {
+    (0..ROUNDS).map(|_| round().spent).min().expect("some rounds")
+}
+
+/// What an idle second and a thousand requests cost, where three classes get requests.
+fn costs(upstreams: u32, classes: usize) -> (Duration, Duration) {
+    let (mut fleet, _) = ServiceFleet::new(upstreams, settings(classes, 0), 3);
+    fleet.run(1000);
+    let requests = least(|| fleet.run(1000));
+    fleet.rest(Span(5_000_000));
+    (least(|| fleet.rest(Span(1_000_000))), requests)
+}
+
+#[test]
+fn one_more_upstream_costs_a_bounded_number_of_bytes_whatever_the_classes() {
+    let _alone = alone();
+    for classes in [3, 1300] {
+        let (few, many) = (bytes(4000, classes, 0), bytes(12_000, classes, 0));
+        let each = (many - few) / 8000;
+        println!("{classes} classes: {each} bytes");
+        assert!(each <= BYTES_PER_UPSTREAM, "{each} bytes with {classes} classes");
+    }
+}
+
+#[test]
+fn one_more_idle_class_costs_a_bounded_number_of_bytes_whatever_the_upstreams() {
+    let _alone = alone();
+    for upstreams in [64, 8000] {
+        let (few, many) = (bytes(upstreams, 100, 0), bytes(upstreams, 1300, 0));
+        let each = (many - few) / 1200;
+        println!("{upstreams} upstreams: {each} bytes");
+        assert!(each <= BYTES_PER_IDLE_CLASS, "{each} bytes before {upstreams} upstreams");
+    }
+}
+
+#[test]
+fn one_more_idle_tenant_costs_its_settings_alone() {
+    let _alone = alone();
+    let (few, many) = (bytes(64, 3, 1000), bytes(64, 3, 101_000));
+    let each = (many - few) / 100_000;
+    println!("{each} bytes");
+    assert!(each <= BYTES_PER_IDLE_TENANT, "{each} bytes");
+}
+
+#[test]
+fn class_breakers_are_dropped_once_upstreams_answer_again() {
+    let _alone = alone();
+    // All classes share three machine types, so that many class breakers meet at each of few upstreams.
+    let mut shared = settings(CLASSES_IN_USE, 0);
+    for (number, class) in shared.classes.iter_mut().enumerate() {
+        class.kinds = Some(vec![number as u32 % 3]);
+    }
+    let (mut fleet, _) = ServiceFleet::new(30, shared, CLASSES_IN_USE);
+    fleet.run(20_000);
+    let before = bytes_in_use();
+    fleet.outcome = Outcome::Error;
+    fleet.run(2000);
+    let added = bytes_in_use().saturating_sub(before);
+    fleet.outcome = Outcome::Ok;
+    for _ in 0..10 {
+        fleet.rest(Span(60_000_000));
+        fleet.run(20_000);
+    }
+    let left = bytes_in_use().saturating_sub(before);
+    println!("{added} bytes were added, {left} are left");
+    assert!(left as f64 <= LEFT_AFTER_FAULTS * added as f64, "{left} bytes of {added} are left");
+}
+
+#[test]
+fn idle_classes_cost_neither_an_idle_second_nor_a_request_anything() {
+    let _alone = alone();
+    let ((idle, request), (idle_of_many, request_of_many)) = (costs(1000, 3), costs(1000, 1300));
+    println!("idle {idle:?} and {idle_of_many:?}, requests {request:?} and {request_of_many:?}");
+    let ratio = idle_of_many.as_secs_f64() / idle.as_secs_f64();
+    assert!(ratio <= IDLE_COST_BY_CLASSES, "an idle second costs {ratio} times as much");
+    let ratio = request_of_many.as_secs_f64() / request.as_secs_f64();
+    assert!(ratio <= REQUEST_COST_BY_CLASSES, "a request costs {ratio} times as much");
+}
+
+#[test]
+fn idle_upstreams_cost_an_idle_second_little() {
+    let _alone = alone();
+    let ((few, _), (many, _)) = (costs(1000, 1300), costs(8000, 1300));
+    println!("{few:?} and {many:?}");
+    let ratio = many.as_secs_f64() / few.as_secs_f64();
+    assert!(ratio <= IDLE_COST_BY_UPSTREAMS, "an idle second costs {ratio} times as much");
+}
