Hold the tenants of the settings in one table, and find them by a search

Names stand in one piece of text, quotas and shares once per distinct pair, and a copy shares the table: 25.0 bytes each for names of 13 bytes and 50 quotas, 0 for a copy. Figures by a counting allocator on 330,000 tenants, both builds in one run. The gateway changes by the one line that asks for a tenant's number.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -459,7 +459,7 @@
             0
         } else {
             let name = text("x-tenant").unwrap_or_default();
-            self.facts.tenants.iter().position(|t| t.name == name).ok_or("X-Tenant")?
+            self.facts.tenants.position(name).ok_or("X-Tenant")?
         };
         let hint = text("x-cost-hint").and_then(|v| v.trim().parse::<f64>().ok());
         Ok(Arrival {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,4 +19,5 @@
 mod rooms;
 pub mod settings;
 mod state;
+pub mod tenants;
 mod upstreams;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use crate::interface::{self as d, Report, Span};
+use crate::tenants::Tenants;
 
 /// Milliseconds in whole microseconds; whatever is not a number is 0.
 pub fn span(ms: f64) -> Span {
@@ -81,7 +82,7 @@
     pub registry_mode: RegistryMode,
     pub services: Vec<Service>,
     #[serde(default)]
-    pub tenants: Vec<Tenant>,
+    pub tenants: Tenants,
     pub policy_limits: PolicyLimits,
     pub safety: Safety,
     #[serde(default)]
@@ -173,17 +174,6 @@
     Cell,
 }
 
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub struct Tenant {
-    #[serde(default)]
-    pub name: String,
-    #[serde(default)]
-    pub quota_rps: f64,
-    #[serde(default)]
-    pub share: f64,
-}
-
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct PolicyLimits {
--- a/crates/policy/tests/slopes.rs
+++ b/crates/policy/tests/slopes.rs
@@ -9,6 +9,8 @@
 
 use allocation::{Counting, bytes_in_use};
 use hollowpaddle_policy::interface::{Outcome, Span};
+use hollowpaddle_policy::tenants::Tenants;
+use serde_json::json;
 use service_fleet::{CLASSES_IN_USE, Cost, ServiceFleet, settings};
 
 #[global_allocator]
@@ -20,6 +22,8 @@
 const BYTES_PER_IDLE_CLASS: usize = 2500;
 /// One more tenant that sends nothing: its quota and share in the settings.
 const BYTES_PER_IDLE_TENANT: usize = 17;
+/// One more tenant in the table of names, beside its name, where few distinct quotas are in use.
+const BYTES_BESIDE_NAME: usize = 13;
 /// What may be left once all upstreams have answered again, as a share of what faults added: timers and queues keep the
 /// capacity that they grew to.
 const LEFT_AFTER_FAULTS: f64 = 0.5;
@@ -93,6 +97,22 @@
     assert!(each <= BYTES_PER_IDLE_TENANT, "{each} bytes");
 }
 
+#[test]
+fn one_more_tenant_costs_its_name_and_a_few_bytes_and_a_copy_of_the_table_none() {
+    const TENANTS: usize = 100_000;
+    let _alone = alone();
+    let name = |i: usize| format!("tenant-{i:06}");
+    let entry = |i| json!({"Name": name(i), "QuotaRps": (i % 7) as f64, "Share": 0.5});
+    let list = json!((0..TENANTS).map(entry).collect::<Vec<_>>()).to_string();
+    let before = bytes_in_use();
+    let table: Tenants = serde_json::from_str(&list).expect("a sound list");
+    let copy = table.clone();
+    let each = (bytes_in_use() - before) / TENANTS;
+    println!("{each} bytes");
+    assert!(each <= name(0).len() + BYTES_BESIDE_NAME, "{each} bytes");
+    assert_eq!(copy.position("tenant-099999"), Some(99_999));
+}
+
 #[test]
 fn class_breakers_are_dropped_once_upstreams_answer_again() {
     let _alone = alone();
