--- a/crates/order/src/ring.rs
+++ b/crates/order/src/ring.rs
@@ -11,7 +11,8 @@
     pub slot: usize,
 }
 
-/// Places in order. A few changes cost a search and a move of memory each; many are sorted in at once.
+/// Places in order. A few changes cost a search and a move of memory each; more cost one
+/// pass over the places.
 #[derive(Clone, Debug, Default)]
 pub struct Ring {
     places: Vec<Place>,
@@ -19,8 +20,10 @@
     parts: Vec<(u32, usize)>,
 }
 
-/// From so many changes at once on, all is sorted anew.
-const MANY: usize = 32;
+/// So many changes at once are searched and moved one by one; more are merged in one pass over the places.
+const FEW: usize = 4;
+/// The table grows by this part of itself at least.
+const GROWTH: usize = 8;
 
 impl Ring {
     /// How many there are.
@@ -63,24 +66,66 @@
     }
 
     fn change_places(&mut self, out: &[Place], into: &[Place]) {
-        if out.len() + into.len() <= MANY {
-            for place in out {
-                if let Ok(at) = self.places.binary_search(place) {
-                    self.places.remove(at);
-                }
-            }
-            for place in into {
-                if let Err(at) = self.places.binary_search(place) {
-                    self.places.insert(at, *place);
-                }
-            }
-            return;
+        if out.len() + into.len() <= FEW {
+            return self.change_one_by_one(out, into);
         }
+        self.remove_all(out);
+        self.insert_all(into);
+    }
+
+    fn remove_all(&mut self, out: &[Place]) {
         let mut out = out.to_vec();
         out.sort_unstable();
-        self.places.retain(|p| out.binary_search(p).is_err());
-        self.places.extend_from_slice(into);
-        self.places.sort_unstable();
-        self.places.dedup();
+        let Some(first) = out.first() else { return };
+        let unchanged = self.places.partition_point(|place| place < first);
+        let mut out = out.into_iter().peekable();
+        let mut kept = unchanged;
+        for at in unchanged..self.places.len() {
+            let place = self.places[at];
+            while out.next_if(|gone| *gone < place).is_some() {}
+            if out.peek() != Some(&place) {
+                self.places[kept] = place;
+                kept += 1;
+            }
+        }
+        self.places.truncate(kept);
+    }
+
+    /// Merges from the last place to the first, so that each moves once.
+    fn insert_all(&mut self, into: &[Place]) {
+        let mut into = into.to_vec();
+        into.sort_unstable();
+        into.dedup();
+        into.retain(|place| self.find(*place).is_none());
+        let Some(&filler) = into.first() else { return };
+        let mut left = self.places.len();
+        if self.places.capacity() < left + into.len() {
+            self.places.reserve_exact(into.len().max(left / GROWTH));
+        }
+        self.places.resize(left + into.len(), filler);
+        let mut at = self.places.len();
+        while let Some(&new) = into.last() {
+            at -= 1;
+            if left > 0 && self.places[left - 1] > new {
+                left -= 1;
+                self.places[at] = self.places[left];
+            } else {
+                self.places[at] = new;
+                into.pop();
+            }
+        }
+    }
+
+    fn change_one_by_one(&mut self, out: &[Place], into: &[Place]) {
+        for place in out {
+            if let Ok(at) = self.places.binary_search(place) {
+                self.places.remove(at);
+            }
+        }
+        for place in into {
+            if let Err(at) = self.places.binary_search(place) {
+                self.places.insert(at, *place);
+            }
+        }
     }
 }
