--- a/crates/gateway/src/bank/door.rs
+++ b/crates/gateway/src/bank/door.rs
@@ -569,13 +569,13 @@
     };
     let mut groups = BTreeMap::<(u32, u8, u8), (u16, u32)>::new();
     for listed in members.iter().filter(|m| m.phase == Phase::Serving) {
-        let site = place(&mut facts.sites, &listed.locality);
-        let flavour = place(&mut facts.flavours, &listed.flavor);
+        let site = place(&mut facts.sites, &listed.zone);
+        let flavour = place(&mut facts.flavours, &listed.machine_type);
         let group = groups.entry((listed.cell, site, flavour)).or_default();
         group.0 = group.0.saturating_add(1);
         let size = (listed.size.clamp(0.0, 1e6) * 1000.0) as u32;
         group.1 = group.1.saturating_add(size);
-        facts.named.insert(listed.id.clone(), (listed.cell, flavour));
+        facts.named.insert(listed.id.to_string(), (listed.cell, flavour));
     }
     facts.load = vec![0; facts.sites.len()];
     let group =
--- a/crates/gateway/src/bank/mod.rs
+++ b/crates/gateway/src/bank/mod.rs
@@ -122,7 +122,7 @@
     let count = bank.peers.len() as u16;
     let mut pods = BTreeMap::<String, BTreeSet<u32>>::new();
     for entry in &config.known.members {
-        pods.entry(entry.locality.clone()).or_default().insert(entry.cell);
+        pods.entry(entry.zone.to_string()).or_default().insert(entry.cell);
     }
     let named =
         |pods: &[u32]| Charter { pods: pods.iter().copied().collect(), ..Charter::default() };
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::members::List;
-use crate::objects::{ObjectError, Objects};
+use crate::objects::{ObjectError, Objects, PIECE_LENGTH};
 use crate::tasks::AbortOnDrop;
 
 /// Without a word for so long a watch or a call is dead, though nothing told so (a machine that is cut off sends no
@@ -93,10 +93,15 @@
         let frame = frame.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
         // White space between objects is a heartbeat.
-        objects.take(&data, |list| {
-            told = true;
-            tell(News::List(list));
-        })?;
+        for (i, piece) in data.chunks(PIECE_LENGTH).enumerate() {
+            if i > 0 {
+                tokio::task::yield_now().await;
+            }
+            objects.take(piece, |list| {
+                told = true;
+                tell(News::List(list));
+            })?;
+        }
     }
 }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -512,7 +512,7 @@
             Note::Moved(discovery) => self.moved(discovery),
             Note::Part if !self.telling.is_due() => {}
             Note::Part => {
-                let list = self.telling.next();
+                let list = self.telling.next_part();
                 self.tell_part(ListKind::Aside, &list);
             }
             Note::Learned(reply) => drop(reply.send(self.balancer.learned())),
@@ -730,7 +730,7 @@
             Phase::Draining | Phase::Unknown => lists::Phase::Drains,
             Phase::Deleted => lists::Phase::Ended,
         };
-        let entries = list.members.iter().map(|m| (m.id.clone(), phase(m.phase))).collect();
+        let entries = list.members.iter().map(|m| (m.id.to_string(), phase(m.phase))).collect();
         bank.heard(Listed::List { version: list.revision, whole, entries });
     }
 
@@ -771,13 +771,15 @@
         let now = self.clock.now();
         let list = match &mut self.subset {
             Some(subset) => {
-                let list = subset.listed(now, kind, &members);
+                let last = |id| self.upstreams.member(id);
+                let list = subset.listed(now, kind, &members, last);
                 self.balancer.shared_by(subset.sharers());
                 list
             }
             None => members,
         };
-        let part = self.telling.listed(kind, list);
+        let last = |id| self.upstreams.member(id);
+        let part = self.telling.listed(kind, list, last);
         self.tell_part(part.kind, &part.members);
     }
 
@@ -813,11 +815,12 @@
         self.timers.push(Reverse((Instant::now() + SUBSET_EVERY, Due::Subset)));
         let (all, well) = self.balancer.standing(now);
         let Some(subset) = &mut self.subset else { return };
-        let mut list = subset.passed(now);
-        list.extend(subset.seen(now, all, well));
+        let last = |id| self.upstreams.member(id);
+        let mut list = subset.passed(now, last);
+        list.extend(subset.seen(now, all, well, last));
         self.balancer.shared_by(subset.sharers());
         if !list.is_empty() {
-            let part = self.telling.listed(ListKind::Aside, list);
+            let part = self.telling.listed(ListKind::Aside, list, last);
             self.tell_part(part.kind, &part.members);
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,8 +16,11 @@
 mod http;
 mod kept;
 pub mod members;
-mod membership;
-mod objects;
+#[doc(hidden)] // for the measurements in `tests/list_memory.rs`
+pub mod membership;
+mod names;
+#[doc(hidden)]
+pub mod objects;
 mod operators;
 mod relay;
 mod relisted;
@@ -25,7 +28,8 @@
 mod stream;
 mod subsetting;
 mod tasks;
-mod telling;
+#[doc(hidden)]
+pub mod telling;
 mod upstreams;
 
 pub use config::{Config, ConfigError};
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,65 +1,79 @@
 //! Who the upstreams are, from lists that may come late, twice or out of their order: names become the module's
-//! handles, and what each list changes is put into the module's words. Pure; it closes nothing and asks nobody.
+//! handles, and what each list changes is put into the module's terms. Pure; it closes nothing and asks nobody.
+
+mod departed;
+mod open_targets;
+mod overlay;
 
 use std::cell::Cell;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::num::NonZeroI64;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollowpaddle_policy::interface as d;
 use hollowpaddle_policy::interface::{ListKind, ServerId, Time};
 use hollowpaddle_policy::settings::stable_hash;
 use hollowpaddle_revision::rules::Place;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::time::Instant;
 
 use crate::bank::Held;
 use crate::config::Config;
 use crate::members::{Entry, List, Phase};
+use crate::names::NameTable;
 use crate::upstreams::Target;
+use departed::Departed;
+use open_targets::OpenTargets;
+pub use overlay::Placed;
+use overlay::{Overlay, Policy};
 
-/// So many upstreams that were said to be gone are remembered by name. Beyond, an older list than the last word of
-/// the forgotten ones brings nobody in.
-const REMEMBERED: usize = 4096;
-
-/// The upstreams that the list has named, by the module's handle. Failure: none was ever forgotten, and every
-/// list walked all ids of the day.
+/// The upstreams that the list has named, by the module's handle. What a list costs goes by its entries, and what one
+/// upstream costs in memory by the record [`Known`]: names are shared with the list that brought them.
 pub struct Membership {
-    ids: FxHashMap<Rc<str>, ServerId>,
-    targets: FxHashMap<ServerId, Known>,
+    ids: FxHashMap<Arc<str>, ServerId>,
+    /// Boxed, since a hash table has room for up to twice its entries.
+    targets: FxHashMap<ServerId, Box<Known>>,
+    /// Of these, who is gone, until no attempt looks at it any more.
+    gone: FxHashSet<ServerId>,
     /// A handle is never used twice, or news of one that is gone would be taken for another's.
     next: u32,
     /// The highest version that a list came with.
     newest: u64,
-    /// Who was said to be gone, and the version that said so; the same in the order in which it was said.
-    gone: FxHashMap<String, u64>,
-    gone_order: VecDeque<(String, u64)>,
-    /// Whom an older list than this names, and nobody knows, is gone: a whole list left it out, or its name is
-    /// forgotten.
-    floor: u64,
-    /// By name, whom operators have taken out. It lies over all that lists say.
-    cordoned: BTreeSet<String>,
-    /// What the bank has agreed on lies over that; nothing, where there is no bank.
-    held: Option<Held>,
-    /// The list is older than the rules allow, and the charter has upstreams on it: nobody else is sent to.
-    narrow: bool,
-    classes: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    departed: Departed,
+    open: OpenTargets,
+    overlay: Overlay,
+    zones: NameTable,
+    machine_types: NameTable,
     grace: Duration,
     /// Lists taken in so far.
     lists: u64,
 }
 
+/// One upstream.
 struct Known {
-    name: Rc<str>,
+    name: Arc<str>,
     target: Rc<Target>,
     /// As last listed, whatever operators say.
-    listed: d::Member,
-    gone: bool,
+    listed: Listing,
     /// Version of the list that the last word of it came with.
     revision: u64,
+    /// The last list that named it, as counted by [`Membership::lists`].
+    named_by: u64,
+}
+
+/// What a list says of an upstream, without what follows from its name and handle.
+#[derive(Clone, Copy)]
+struct Listing {
+    weight: f64,
+    /// When it last started, in microseconds of Unix time, if not long ago.
+    started: Option<NonZeroI64>,
+    zone: u32,
+    machine_type: u32,
+    cell: u32,
+    status: d::Status,
 }
 
 /// So many handles are looked at for one part of the whole: the engine has others to serve in between.
@@ -77,24 +91,6 @@
     pub lists: u64,
 }
 
-/// An upstream and a class, as rules know them.
-pub struct Placed {
-    name: Rc<str>,
-    pod: u32,
-    flavour: Box<str>,
-    site: Box<str>,
-    class: Box<str>,
-}
-
-impl Placed {
-    /// Whether this allows sending it there.
-    pub fn permitted(&self, held: &Held) -> bool {
-        let Self { name, pod, flavour, site, class } = self;
-        let stopped = held.stops.names.contains(&**name);
-        !stopped && held.rules.permits(&Place { name, pod: *pod, flavour, site }, class)
-    }
-}
-
 /// What a list comes to.
 pub struct Told {
     /// What it is to the module.
@@ -108,20 +104,18 @@
 impl Membership {
     /// Nobody yet. Sends to what drains or is gone end `grace` after the news.
     pub fn new(config: &Config, grace: Duration) -> Self {
+        let classes = config.facts.services.iter().map(|service| service.name.as_str().into());
         Self {
             ids: FxHashMap::default(),
             targets: FxHashMap::default(),
+            gone: FxHashSet::default(),
             next: 0,
             newest: 0,
-            gone: FxHashMap::default(),
-            gone_order: VecDeque::new(),
-            floor: 0,
-            cordoned: BTreeSet::new(),
-            held: None,
-            narrow: false,
-            classes: config.facts.services.iter().map(|s| s.name.clone()).collect(),
-            zones: config.facts.zones.clone(),
-            kinds: config.facts.machine_types.clone(),
+            departed: Departed::default(),
+            open: OpenTargets::default(),
+            overlay: Overlay::new(classes),
+            zones: NameTable::new(&config.facts.zones),
+            machine_types: NameTable::new(&config.facts.machine_types),
             grace,
             lists: 0,
         }
@@ -134,7 +128,7 @@
 
     /// Whether there is anybody to send to.
     pub fn any_open(&self) -> bool {
-        self.targets.values().any(|k| k.target.closed_from.get().is_none())
+        self.open.is_any()
     }
 
     /// The highest version that a list came with.
@@ -142,54 +136,67 @@
         self.newest
     }
 
+    /// What the module is told of an upstream now, if it is known. One that a whole list left out is as it was before.
+    pub fn member(&self, server: ServerId) -> Option<d::Member> {
+        let known = self.targets.get(&server)?;
+        Some(self.overlay.apply(known.member(server), &self.place(known)))
+    }
+
     /// The list as it is known, from this handle on; cordons are no part of it.
     pub fn part(&self, from: u32) -> Part {
         let end = from.saturating_add(PART);
-        let known = (from..end.min(self.next)).filter_map(|id| self.targets.get(&ServerId(id)));
-        let name = |names: &[String], i: u32| names.get(i as usize).cloned().unwrap_or_default();
-        let entry = |known: &Known| {
-            let listed = &known.listed;
-            Entry {
-                id: known.name.to_string(),
-                host_port: known.target.address.get().to_string(),
-                locality: name(&self.zones, listed.zone),
-                flavor: name(&self.kinds, listed.kind),
-                cell: listed.cell,
-                phase: match listed.status {
-                    d::Status::Live => Phase::Serving,
-                    d::Status::Draining | d::Status::Gone => Phase::Draining,
-                },
-                size: listed.weight,
-                up_since_ms: listed.started.map_or(0.0, |t| t.0 as f64 / 1000.0),
-            }
-        };
-        let members = known.filter(|k| !k.gone).map(entry).collect();
+        let handles = (from..end.min(self.next)).map(ServerId);
+        let members = handles
+            .filter(|id| !self.gone.contains(id))
+            .filter_map(|id| self.targets.get(&id))
+            .map(|known| self.entry(known))
+            .collect();
         let next = (end < self.next).then_some(end);
         Part { members, next, revision: self.newest, lists: self.lists }
     }
 
+    fn entry(&self, known: &Known) -> Entry {
+        let listed = &known.listed;
+        Entry {
+            id: known.name.clone(),
+            address: Some(known.target.address.get()),
+            zone: self.zones.name(listed.zone).clone(),
+            machine_type: self.machine_types.name(listed.machine_type).clone(),
+            cell: listed.cell,
+            phase: match listed.status {
+                d::Status::Live => Phase::Serving,
+                d::Status::Draining | d::Status::Gone => Phase::Draining,
+            },
+            size: listed.weight,
+            up_since_ms: listed.started.map_or(0.0, |us| us.get() as f64 / 1000.0),
+        }
+    }
+
     /// From here on versions are another discovery's.
     pub fn count_anew(&mut self) {
-        (self.newest, self.floor) = (0, 0);
+        self.newest = 0;
+        self.departed = Departed::default();
         self.targets.values_mut().for_each(|k| k.revision = 0);
-        self.gone.clear();
-        self.gone_order.clear();
     }
 
     /// Whether a list has named this upstream. Of those that are gone only the last are remembered.
     pub fn has_named(&self, name: &str) -> bool {
-        self.ids.contains_key(name) || self.gone.contains_key(name) || self.cordoned.contains(name)
+        self.ids.contains_key(name)
+            || self.departed.contains(name)
+            || self.overlay.cordoned.contains(name)
     }
 
     /// From here on these are out by operators' hands, and no others: whom that changes, in the module's words.
     pub fn cordon(&mut self, names: &BTreeSet<String>, now: Instant) -> Vec<d::Member> {
-        let before = std::mem::replace(&mut self.cordoned, names.clone());
+        let before = std::mem::replace(&mut self.overlay.cordoned, names.clone());
         let mut members = Vec::new();
         for name in before.symmetric_difference(names) {
-            let known = self.ids.get(name.as_str()).and_then(|id| self.targets.get(id));
-            let Some(known) = known.filter(|k| !k.gone) else { continue };
-            let member = self.laid_over(known);
-            open_until(known, member, now + self.grace);
+            let Some(id) = self.ids.get(name.as_str()).copied() else { continue };
+            if self.gone.contains(&id) {
+                continue;
+            }
+            let Some(member) = self.member(id) else { continue };
+            self.open_until(member, now + self.grace);
             members.push(member);
         }
         members
@@ -198,71 +205,57 @@
     /// From here on these rules lie over lists and cordons: whom that changes, in the module's words. What they put out
     /// gets nothing more at once, also what waits for its connection.
     pub fn rule(&mut self, held: Held, now: Instant) -> Vec<d::Member> {
-        let known = || self.targets.values().filter(|k| !k.gone);
-        let before: Vec<d::Member> = known().map(|k| self.laid_over(k)).collect();
-        let in_charter = |k: &Known| held.rules.floor().allows(&self.place(k));
-        self.narrow = held.stops.old && known().any(in_charter);
-        self.held = Some(held);
-        let known = self.targets.values().filter(|k| !k.gone);
+        let is_restricted = held.stops.old && self.is_any_in_fallback(&held);
+        let policy = Policy { held: Some(held), is_restricted };
+        let before = std::mem::replace(&mut self.overlay.policy, policy);
         let mut members = Vec::new();
-        for (known, before) in known.zip(before) {
-            let member = self.laid_over(known);
-            if member != before {
-                open_until(known, member, now);
+        for (id, known) in self.targets.iter().filter(|(id, _)| !self.gone.contains(id)) {
+            let (listed, place) = (known.member(*id), self.place(known));
+            let member = self.overlay.apply(listed, &place);
+            if member != self.overlay.apply_under(&before, listed, &place) {
                 members.push(member);
             }
         }
         // In the order of their handles, whatever that of the table is.
         members.sort_unstable_by_key(|m| m.id);
+        members.iter().for_each(|member| self.open_until(*member, now));
         members
     }
 
+    fn is_any_in_fallback(&self, held: &Held) -> bool {
+        let known = self.targets.iter().filter(|(id, _)| !self.gone.contains(id));
+        known.into_iter().any(|(_, known)| held.rules.floor().allows(&self.place(known)))
+    }
+
+    /// Sends to one that is not live for all end then.
+    fn open_until(&mut self, member: d::Member, until: Instant) {
+        let Some(known) = self.targets.get(&member.id) else { return };
+        match member.status {
+            d::Status::Live => self.open.open(&known.target),
+            _ => self.open.close_by(&known.target, until),
+        }
+    }
+
     /// An upstream as rules know it and a class, to be held against rules later on.
     pub fn placed(&self, server: ServerId, class: usize) -> Option<Placed> {
         let known = self.targets.get(&server)?;
-        let Place { pod, flavour, site, .. } = self.place(known);
         Some(Placed {
             name: known.name.clone(),
-            pod,
-            flavour: flavour.into(),
-            site: site.into(),
-            class: self.classes.get(class)?.as_str().into(),
+            cell: known.listed.cell,
+            machine_type: self.machine_types.name(known.listed.machine_type).clone(),
+            zone: self.zones.name(known.listed.zone).clone(),
+            class: self.overlay.classes.get(class)?.clone(),
         })
     }
 
     /// How rules know it.
     fn place<'a>(&'a self, known: &'a Known) -> Place<'a> {
-        let name = |names: &'a [String], i: u32| names.get(i as usize).map_or("", |n| n);
         Place {
             name: &known.name,
             pod: known.listed.cell,
-            flavour: name(&self.kinds, known.listed.kind),
-            site: name(&self.zones, known.listed.zone),
-        }
-    }
-
-    /// What the module is told of one that is listed: one that operators have taken out drains, and so does one that the
-    /// rules keep every class from.
-    fn laid_over(&self, known: &Known) -> d::Member {
-        let listed = known.listed;
-        let mut member = laid_over(listed, self.cordoned.contains(&*known.name));
-        let Some(Held { rules, stops }) = &self.held else { return member };
-        let place = self.place(known);
-        let stopped = stops.names.contains(&*known.name);
-        let stopped = stopped || self.narrow && !rules.floor().allows(&place);
-        let kept = |class: &&String| !rules.permits(&place, class);
-        member.barred = self
-            .classes
-            .iter()
-            .enumerate()
-            .take(64)
-            .fold(0, |mask, (i, class)| mask | u64::from(kept(&class)) << i);
-        let nowhere = stopped || self.classes.iter().all(|c| kept(&c));
-        if member.status == d::Status::Live && nowhere {
-            member.status = d::Status::Draining;
+            flavour: self.machine_types.name(known.listed.machine_type),
+            site: self.zones.name(known.listed.zone),
         }
-        member.weight *= rules.weight(&place);
-        member
     }
 
     /// Takes in a list.
@@ -285,147 +278,138 @@
             let (newest, revision) = (self.newest, list.revision);
             tracing::warn!(newest, revision, "a list out of its order");
         }
-        let closed_from = now + self.grace;
-        let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
         if !kind.is_part() {
-            // What a whole list leaves out is gone, and so is whoever an older one names alone.
-            for known in self.targets.values_mut() {
-                known.gone = true;
-            }
-            self.floor = self.floor.max(list.revision);
+            self.departed.raise_floor(list.revision);
         }
-        let (mut members, mut moved) = (Vec::with_capacity(list.members.len()), Vec::new());
+        let closed_from = now + self.grace;
+        let members = Vec::with_capacity(list.members.len());
+        let mut told = Told { kind, members, moved: Vec::new() };
         for entry in &list.members {
-            let known = self.ids.get(entry.id.as_str()).and_then(|id| self.targets.get(id));
-            if known.is_some_and(|k| list.revision < k.revision) {
-                continue;
-            }
-            if known.is_none() && (entry.phase == Phase::Deleted || self.left(&entry.id, list)) {
-                self.remember(&entry.id, entry.phase, list.revision);
-                continue;
-            }
-            // Without a valid address the last one stands: that it drains must not be lost with it.
-            let last = known.map(|k| k.target.address.get());
-            let Some(address) = entry.host_port.parse().ok().or(last) else {
-                tracing::warn!(id = entry.id, address = entry.host_port, "no such address");
-                continue;
-            };
-            let id = self.id(entry, address);
-            let listed = self.member(id, entry);
-            self.remember(&entry.id, entry.phase, list.revision);
-            let Some(known) = self.targets.get_mut(&id) else { continue };
-            if known.target.address.replace(address) != address {
-                moved.push(id);
-            }
-            known.gone = entry.phase == Phase::Deleted;
-            known.revision = list.revision;
-            known.listed = listed;
-            let Some(known) = self.targets.get(&id) else { continue };
-            let member = self.laid_over(known);
-            match member.status {
-                d::Status::Live => known.target.closed_from.set(None),
-                d::Status::Draining | d::Status::Gone => close(&known.target),
-            }
-            members.push(member);
+            self.take_entry(entry, list.revision, closed_from, &mut told);
         }
-        self.targets.values().filter(|k| k.gone).for_each(|k| close(&k.target));
-        Told { kind, members, moved }
-    }
-
-    /// Whether one that is not known has left by what a newer list said.
-    fn left(&self, name: &str, list: &List) -> bool {
-        list.revision < self.floor || self.gone.get(name).is_some_and(|at| list.revision < *at)
+        if !kind.is_part() {
+            self.close_unnamed(closed_from);
+        }
+        told
     }
 
-    /// Keeps in mind that one was said to be gone, or that it was not.
-    fn remember(&mut self, name: &str, phase: Phase, revision: u64) {
-        if phase != Phase::Deleted {
+    /// Takes in one entry of a list of this version.
+    fn take_entry(&mut self, entry: &Entry, revision: u64, closed_from: Instant, told: &mut Told) {
+        let known = self.ids.get(&entry.id).and_then(|id| self.targets.get(id));
+        if known.is_some_and(|k| revision < k.revision) {
+            return;
+        }
+        let is_deleted = entry.phase == Phase::Deleted;
+        if known.is_none() && (is_deleted || self.departed.had_left(&entry.id, revision)) {
+            if is_deleted {
+                self.departed.remember(&entry.id, revision);
+            }
             return;
         }
-        let last = self.gone.entry(name.to_string()).or_insert(0);
-        if revision <= *last {
+        // Without a valid address the last one stands: that it drains must not be lost with it.
+        let last = known.map(|k| k.target.address.get());
+        let Some(address) = entry.address.or(last) else {
+            tracing::warn!(id = &*entry.id, "no valid address");
             return;
+        };
+        let listed = self.listing(entry);
+        let id = self.id(entry, address, listed);
+        if is_deleted {
+            self.departed.remember(&entry.id, revision);
+            self.gone.insert(id);
+        } else {
+            self.gone.remove(&id);
+        }
+        let Some(known) = self.targets.get_mut(&id) else { return };
+        if known.target.address.replace(address) != address {
+            told.moved.push(id);
         }
-        *last = revision;
-        self.gone_order.push_back((name.to_string(), revision));
-        while self.gone_order.len() > REMEMBERED {
-            let Some((name, at)) = self.gone_order.pop_front() else { return };
-            if self.gone.get(&name) == Some(&at) {
-                self.gone.remove(&name);
+        known.named_by = self.lists;
+        known.revision = revision;
+        known.listed = listed;
+        let Some(member) = self.member(id) else { return };
+        let Some(known) = self.targets.get(&id) else { return };
+        match member.status {
+            d::Status::Live => self.open.open(&known.target),
+            d::Status::Draining | d::Status::Gone => self.open.close(&known.target, closed_from),
+        }
+        told.members.push(member);
+    }
+
+    /// Whom the last list, a whole one, left out is gone.
+    fn close_unnamed(&mut self, closed_from: Instant) {
+        for (id, known) in &self.targets {
+            if known.named_by != self.lists {
+                self.gone.insert(*id);
+                self.open.close(&known.target, closed_from);
             }
-            self.floor = self.floor.max(at);
         }
     }
 
     /// Drops what is gone and has no attempt left that looks at it; whom that leaves without a use for idle
     /// connections.
     pub fn forget(&mut self) -> Vec<ServerId> {
-        let mut dropped = Vec::new();
-        self.targets.retain(|id, known| {
-            let keep = !known.gone || Rc::strong_count(&known.target) > 1;
-            if !keep {
-                dropped.push(*id);
+        let is_unused = |known: &Known| Rc::strong_count(&known.target) == 1;
+        let unused = |id: &&ServerId| self.targets.get(id).is_none_or(|known| is_unused(known));
+        let dropped: Vec<ServerId> = self.gone.iter().filter(unused).copied().collect();
+        for id in &dropped {
+            self.gone.remove(id);
+            if let Some(known) = self.targets.remove(id) {
+                self.ids.remove(&known.name);
             }
-            keep
-        });
-        if !dropped.is_empty() {
-            self.ids.retain(|_, id| self.targets.contains_key(id));
         }
         dropped
     }
 
-    fn id(&mut self, entry: &Entry, address: SocketAddr) -> ServerId {
-        if let Some(id) = self.ids.get(entry.id.as_str()) {
+    fn id(&mut self, entry: &Entry, address: SocketAddr, listed: Listing) -> ServerId {
+        if let Some(id) = self.ids.get(&entry.id) {
             return *id;
         }
         let id = ServerId(self.next);
         self.next += 1;
-        let name: Rc<str> = entry.id.as_str().into();
+        let name = entry.id.clone();
         self.ids.insert(name.clone(), id);
-        let (address, closed_from) = (Cell::new(address), Cell::new(None));
-        let target = Rc::new(Target { address, closed_from });
-        let listed = self.member(id, entry);
-        self.targets.insert(id, Known { name, target, listed, gone: false, revision: 0 });
+        let target = Target { address: Cell::new(address), closed_from: Cell::new(None) };
+        let target = Rc::new(target);
+        self.open.admit();
+        let known = Known { name, target, listed, revision: 0, named_by: 0 };
+        self.targets.insert(id, Box::new(known));
         id
     }
 
-    fn member(&self, id: ServerId, entry: &Entry) -> d::Member {
-        // A name that the settings don't have is none of those that they do.
-        let index = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
-        };
-        d::Member {
-            id,
-            identity: stable_hash(&entry.id),
-            zone: index(&self.zones, &entry.locality),
-            kind: index(&self.kinds, &entry.flavor),
+    fn listing(&self, entry: &Entry) -> Listing {
+        let started_us = (entry.up_since_ms * 1000.0) as i64;
+        Listing {
+            weight: entry.size,
+            started: NonZeroI64::new(started_us.max(0)),
+            zone: self.zones.index(&entry.zone),
+            machine_type: self.machine_types.index(&entry.machine_type),
             cell: entry.cell,
             status: match entry.phase {
                 Phase::Serving => d::Status::Live,
                 Phase::Draining | Phase::Unknown => d::Status::Draining,
                 Phase::Deleted => d::Status::Gone,
             },
-            weight: entry.size,
-            started: (entry.up_since_ms > 0.0).then_some(Time((entry.up_since_ms * 1000.0) as i64)),
-            barred: 0,
         }
     }
 }
 
-/// Sends to one that is not live for all end then.
-fn open_until(known: &Known, member: d::Member, until: Instant) {
-    let closed = &known.target.closed_from;
-    match member.status {
-        d::Status::Live => closed.set(None),
-        _ => closed.set(Some(closed.get().map_or(until, |from| from.min(until)))),
+impl Known {
+    /// As listed, in the module's terms.
+    fn member(&self, id: ServerId) -> d::Member {
+        d::Member {
+            id,
+            identity: stable_hash(&self.name),
+            zone: self.listed.zone,
+            kind: self.listed.machine_type,
+            cell: self.listed.cell,
+            status: self.listed.status,
+            weight: self.listed.weight,
+            started: self.listed.started.map(|us| Time(us.get())),
+            barred: 0,
+        }
     }
 }
 
-/// What the module is told of one that is listed like this: one that operators have taken out drains.
-fn laid_over(listed: d::Member, cordoned: bool) -> d::Member {
-    let out = cordoned && listed.status == d::Status::Live;
-    d::Member { status: if out { d::Status::Draining } else { listed.status }, ..listed }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/membership/tests.rs
+++ b/crates/gateway/src/membership/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
-use std::sync::Arc;
 
+use super::departed::REMEMBERED;
 use crate::bank::machine::Stops;
 use hollowpaddle_revision::charter::{Charter, Floor};
 use hollowpaddle_revision::rules::Rules;
@@ -116,7 +116,7 @@
         told(&mut of, &list(10 + 2 * i, &[(&name, "SERVING")]), ListKind::Update);
         told(&mut of, &list(11 + 2 * i, &[(&name, "DELETED")]), ListKind::Update);
     }
-    assert!(of.gone.len() <= REMEMBERED && of.gone_order.len() <= REMEMBERED);
+    assert!(of.departed.versions.len() <= REMEMBERED && of.departed.order.len() <= REMEMBERED);
     let late = list(10, &[("s-0", "SERVING")]);
     assert_eq!(told(&mut of, &late, ListKind::Update).2, "a");
 }
@@ -173,7 +173,7 @@
 #[test]
 fn rules_lie_over_lists_and_cordons_and_what_they_put_out_gets_nothing_at_once() {
     let mut of = membership();
-    of.classes = vec!["alarm".into(), "log".into()];
+    of.overlay.classes = vec!["alarm".into(), "log".into()];
     let all = in_pods(1, &[("a", 1), ("b", 2), ("c", 3)]);
     of.update(&all, ListKind::Whole, Instant::now());
     let now = Instant::now();
@@ -204,7 +204,7 @@
 #[test]
 fn peers_words_stop_and_an_old_list_leaves_the_charter_s_upstreams_if_there_are_any() {
     let mut of = membership();
-    of.classes = vec!["alarm".into()];
+    of.overlay.classes = vec!["alarm".into()];
     of.update(&in_pods(1, &[("a", 1), ("b", 2), ("c", 3)]), ListKind::Whole, Instant::now());
     let open = |of: &mut Membership, charter: &[u32], names: &[&str], old| {
         let names = names.iter().map(|n| n.to_string()).collect();
@@ -225,7 +225,7 @@
 #[test]
 fn past_the_lease_only_the_charter_s_pods_are_left() {
     let mut of = membership();
-    of.classes = vec!["alarm".into()];
+    of.overlay.classes = vec!["alarm".into()];
     of.update(&in_pods(1, &[("a", 1), ("b", 2)]), ListKind::Whole, Instant::now());
     let charter = Charter { pods: [2].into(), ..Charter::default() };
     let told = of.rule(held(Rules::of_charter(&charter), Stops::default()), Instant::now());
--- a/crates/gateway/src/objects.rs
+++ b/crates/gateway/src/objects.rs
@@ -1,82 +1,274 @@
-//! JSON objects out of a stream of bytes, in whatever pieces it comes and however they are laid out. Pure.
+//! Lists of upstreams out of a stream of bytes, in whatever pieces it comes and however it is laid out.
+//!
+//! A list is read entry by entry: the text of an entry is dropped once its last byte has come, and a compact record is
+//! kept. What stands around the entries (the outline) is kept as text until the list is whole. Pure.
 
-use serde::de::DeserializeOwned;
+mod text;
 
-/// No object is longer than this, with each run of white space counted as one byte. Failure: without a bound an
-/// answer that never ends takes all memory.
-const LONGEST_OBJECT: usize = 4 << 20;
+use serde::Deserialize;
+use serde::de::{Error as _, IgnoredAny};
+use serde_json::Value;
 
-/// Why there are no more objects in a stream.
+use crate::members::{Entry, List};
+use crate::names::NameInterner;
+use text::Text;
+
+/// Bytes of one entry, with each run of white space counted as one. Entries have about 150; the rest is room for keys
+/// that this build does not know. Without a bound an entry that never ends takes all memory.
+pub const MAX_ENTRY_LENGTH: usize = 64 << 10;
+/// Bytes of a list outside of its entries, counted in the same way. They hold a version and a flag; the rest is room for
+/// keys that this build does not know. Without a bound a list that never ends takes all memory.
+pub const MAX_OUTLINE_LENGTH: usize = 256 << 10;
+/// Objects and arrays within each other, the list itself included: what `serde_json` reads.
+pub const MAX_DEPTH: usize = 127;
+/// Entries kept of one list: two and a half times the 39,000 upstreams that the largest deployment in sight has.
+/// Without a bound a list that never ends takes all memory.
+pub const MAX_ENTRIES: usize = 100_000;
+/// Bytes of all ids of one list: on average 160 for each of [`MAX_ENTRIES`]. Without a bound ids as long as an entry may
+/// be would take gigabytes.
+pub const MAX_ID_BYTES: usize = 16 << 20;
+/// A stream is best handed over in pieces of at most so many bytes, with a chance for other tasks in between: about a
+/// hundred entries, which take a fraction of a millisecond to read.
+pub const PIECE_LENGTH: usize = 16 << 10;
+
+/// Why there are no more lists in a stream.
 #[derive(Debug, thiserror::Error)]
 pub enum ObjectError {
-    /// Text that is none.
+    /// Text that is no list.
     #[error("text that is no list: {0}")]
     Malformed(#[from] serde_json::Error),
-    /// It never ends.
-    #[error("an object without end")]
-    Endless,
+    /// An entry that is too long, or never ends.
+    #[error("an entry of more than {MAX_ENTRY_LENGTH} bytes")]
+    EntryTooLong,
+    /// Too much text around the entries.
+    #[error("a list with more than {MAX_OUTLINE_LENGTH} bytes beside its entries")]
+    OutlineTooLong,
+    /// Too many values within each other.
+    #[error("a list with more than {MAX_DEPTH} values within each other")]
+    TooDeep,
+    /// Too many entries.
+    #[error("a list of more than {MAX_ENTRIES} entries")]
+    TooManyEntries,
+    /// Ids that are too long all together.
+    #[error("a list with more than {MAX_ID_BYTES} bytes of ids")]
+    IdsTooLong,
 }
 
-/// The part of a stream that has come and is not a whole object yet.
-///
-/// Each byte is looked at once, however small the pieces. Failure: parsed from its start with each new piece, a list of
-/// some megabytes held the engine up for as long as it took to come.
+/// Reads lists from a stream. Each byte is looked at once, however small the pieces.
 #[derive(Default)]
 pub struct Objects {
-    text: Vec<u8>,
-    /// Objects and arrays that are open.
-    depth: usize,
-    in_string: bool,
-    escaped: bool,
+    place: Place,
+    /// The list without its entries.
+    outline: Text,
+    /// Where in the outline the key begins that is being read.
+    key_start: Option<usize>,
+    /// The next string directly within the list is a key.
+    expects_key: bool,
+    /// The key of the entries has come, and its value has not begun.
+    expects_members: bool,
+    /// The entry that is being read.
+    entry: Text,
+    kept: KeptEntries,
+}
+
+/// What the next byte belongs to.
+#[derive(Clone, Copy, Default)]
+enum Place {
+    /// The outline.
+    #[default]
+    Outline,
+    /// The array of entries, between two of them.
+    Members(Expected),
+    /// An entry.
+    Entry,
+}
+
+/// What may come next between two entries.
+#[derive(Clone, Copy, PartialEq)]
+enum Expected {
+    EntryOrEnd,
+    Entry,
+    CommaOrEnd,
+}
+
+/// The entries of the list that is being read.
+#[derive(Default)]
+struct KeptEntries {
+    entries: Vec<Entry>,
+    id_bytes: usize,
+    names: NameInterner,
+}
+
+/// The outline of a list, once it is whole.
+#[derive(Deserialize)]
+struct Header {
+    #[serde(default)]
+    revision: u64,
+    #[serde(default)]
+    complete: bool,
+    /// Empty, as its entries were read before. Here it is made sure that it is an array.
+    #[serde(default, rename = "members")]
+    _members: Vec<IgnoredAny>,
 }
 
 impl Objects {
-    /// Takes in the next piece, and tells each object that is whole with it, in order.
+    /// Takes in the next piece, and hands over each list that is whole with it, in order.
     ///
     /// # Errors
-    /// Text that is no such object, or one that is too long. Nothing more can be read from this stream then.
-    pub fn take<T: DeserializeOwned>(
-        &mut self,
-        piece: &[u8],
-        mut tell: impl FnMut(T),
-    ) -> Result<(), ObjectError> {
+    /// Text that is no list, or one beyond a bound. Nothing more can be read from this stream then.
+    pub fn take(&mut self, piece: &[u8], mut tell: impl FnMut(List)) -> Result<(), ObjectError> {
         for byte in piece {
-            if self.is_whole_with(*byte) {
-                let text = std::mem::take(&mut self.text);
-                tell(serde_json::from_slice(&text)?);
-            } else if self.text.len() > LONGEST_OBJECT {
-                return Err(ObjectError::Endless);
+            if let Some(list) = self.push(*byte)? {
+                tell(list);
             }
         }
         Ok(())
     }
 
-    /// Whether this byte ends what began.
-    fn is_whole_with(&mut self, byte: u8) -> bool {
-        if self.in_string {
-            self.text.push(byte);
-            let ends = byte == b'"' && !self.escaped;
-            self.escaped = byte == b'\\' && !self.escaped;
-            self.in_string = !ends;
+    fn push(&mut self, byte: u8) -> Result<Option<List>, ObjectError> {
+        match self.place {
+            Place::Outline => self.push_to_outline(byte),
+            Place::Members(expected) => self.push_between_entries(byte, expected).map(|()| None),
+            Place::Entry => self.push_to_entry(byte).map(|()| None),
+        }
+    }
+
+    fn push_to_outline(&mut self, byte: u8) -> Result<Option<List>, ObjectError> {
+        let begins_members = self.follow_keys(byte);
+        let was_in_string = self.outline.is_in_string();
+        self.outline.push(byte);
+        if was_in_string && !self.outline.is_in_string() {
+            self.end_of_string();
+        }
+        if self.outline.len() > MAX_OUTLINE_LENGTH {
+            return Err(ObjectError::OutlineTooLong);
+        }
+        if self.outline.depth() > MAX_DEPTH {
+            return Err(ObjectError::TooDeep);
+        }
+        if begins_members {
+            // Of a key that occurs twice the last one counts.
+            self.kept.clear();
+            self.place = Place::Members(Expected::EntryOrEnd);
+        }
+        // What doesn't begin as an object is none, and is read to no end of its own.
+        if self.outline.is_whole() { self.end_of_list().map(Some) } else { Ok(None) }
+    }
+
+    /// Follows the keys directly within the list. Tells whether this byte begins the array of entries.
+    fn follow_keys(&mut self, byte: u8) -> bool {
+        if self.outline.is_empty() {
+            self.expects_key = byte == b'{';
             return false;
         }
-        if byte.is_ascii_whitespace() {
-            // Between two values it may part them, and nothing stands before the first.
-            if self.text.last().is_some_and(|last| *last != b' ') {
-                self.text.push(b' ');
-            }
+        if self.outline.depth() != 1 || self.outline.is_in_string() || byte.is_ascii_whitespace() {
+            return false;
+        }
+        if byte == b':' {
             return false;
         }
-        self.text.push(byte);
+        let expects_members = std::mem::take(&mut self.expects_members);
         match byte {
-            b'"' => self.in_string = true,
-            b'{' | b'[' => self.depth += 1,
-            b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+            b',' => self.expects_key = true,
+            b'"' if std::mem::take(&mut self.expects_key) => {
+                self.key_start = Some(self.outline.len());
+            }
             _ => {}
         }
-        // What doesn't begin as an object is none, and is read to no end of its own.
-        self.depth == 0
+        expects_members && byte == b'['
+    }
+
+    fn end_of_string(&mut self) {
+        let Some(start) = self.key_start.take() else { return };
+        let key = serde_json::from_slice::<String>(&self.outline.bytes()[start..]);
+        self.expects_members = key.is_ok_and(|key| key == "members");
     }
+
+    fn push_between_entries(&mut self, byte: u8, expected: Expected) -> Result<(), ObjectError> {
+        match byte {
+            byte if byte.is_ascii_whitespace() => {}
+            b',' if expected == Expected::CommaOrEnd => {
+                self.place = Place::Members(Expected::Entry);
+            }
+            b']' if expected != Expected::Entry => {
+                self.outline.push(byte);
+                self.place = Place::Outline;
+            }
+            b',' | b']' | b'}' | b':' => {
+                return Err(malformed("expected an entry in `members`"));
+            }
+            _ if expected == Expected::CommaOrEnd => {
+                return Err(malformed("expected `,` or `]` behind an entry of `members`"));
+            }
+            _ => {
+                self.place = Place::Entry;
+                self.push_to_entry(byte)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn push_to_entry(&mut self, byte: u8) -> Result<(), ObjectError> {
+        // A number or a word has no end of its own.
+        if self.entry.is_scalar() && (byte.is_ascii_whitespace() || matches!(byte, b',' | b']')) {
+            self.end_of_entry()?;
+            return self.push_between_entries(byte, Expected::CommaOrEnd);
+        }
+        self.entry.push(byte);
+        if self.entry.len() > MAX_ENTRY_LENGTH {
+            return Err(ObjectError::EntryTooLong);
+        }
+        if self.outline.depth() + self.entry.depth() > MAX_DEPTH {
+            return Err(ObjectError::TooDeep);
+        }
+        if self.entry.is_whole() && !self.entry.is_scalar() {
+            self.end_of_entry()?;
+        }
+        Ok(())
+    }
+
+    fn end_of_entry(&mut self) -> Result<(), ObjectError> {
+        let entry = Entry::from_json(self.entry.bytes(), &mut self.kept.names)?;
+        self.entry.clear();
+        self.place = Place::Members(Expected::CommaOrEnd);
+        match entry {
+            Some(entry) => self.kept.push(entry),
+            None => Ok(()),
+        }
+    }
+
+    fn end_of_list(&mut self) -> Result<List, ObjectError> {
+        let outline: Value = serde_json::from_slice(self.outline.bytes())?;
+        if !outline.is_object() {
+            return Err(malformed("expected an object"));
+        }
+        let Header { revision, complete, .. } = Header::deserialize(outline)?;
+        let kept = std::mem::take(&mut self.kept);
+        self.outline.clear();
+        Ok(List { revision, complete, members: kept.entries })
+    }
+}
+
+impl KeptEntries {
+    fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn push(&mut self, entry: Entry) -> Result<(), ObjectError> {
+        if self.entries.len() == MAX_ENTRIES {
+            return Err(ObjectError::TooManyEntries);
+        }
+        self.id_bytes += entry.id.len();
+        if self.id_bytes > MAX_ID_BYTES {
+            return Err(ObjectError::IdsTooLong);
+        }
+        self.entries.push(entry);
+        Ok(())
+    }
+}
+
+fn malformed(expected: &str) -> ObjectError {
+    ObjectError::Malformed(serde_json::Error::custom(expected))
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/objects/tests.rs
+++ b/crates/gateway/src/objects/tests.rs
@@ -3,62 +3,226 @@
 use super::*;
 
 /// What comes out of these pieces.
-fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Result<Vec<Value>, ObjectError> {
+fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Result<Vec<List>, ObjectError> {
     let (mut objects, mut read) = (Objects::default(), Vec::new());
     for piece in pieces {
-        objects.take(piece, |v| read.push(v))?;
+        objects.take(piece, |list| read.push(list))?;
     }
     Ok(read)
 }
 
+/// What `serde_json` makes of the whole text.
+fn whole(text: &str) -> List {
+    let value: Value = serde_json::from_str(text).expect("text");
+    serde_json::from_value(value).expect("a list")
+}
+
 fn list() -> Value {
     let odd = "a } in \"quotes\" \\ and a { \\\" too";
-    json!({"revision": 43, "members": [{"id": odd, "host_port": "127.0.0.1:1"}, {"id": "ä\n"}], "more": [[], {}]})
+    json!({"revision": 43, "members": [
+        {"id": odd, "host_port": "127.0.0.1:1", "phase": "SERVING", "locality": "a", "more": [{"members": [1]}]},
+        {"id": "ä\n", "phase": "DELETED"}], "more": [[], {"members": [{}]}]})
 }
 
 #[test]
-fn an_object_is_read_in_any_layout_and_split_at_any_byte() {
+fn a_list_is_read_in_any_layout_and_split_at_any_byte() {
     for text in [list().to_string(), serde_json::to_string_pretty(&list()).expect("text")] {
-        // Heartbeats before, between and behind; two objects at once.
+        let expected = vec![whole(&text); 3];
+        assert_eq!(expected[0].members.len(), 2);
+        // Heartbeats before, between and behind; two lists at once.
         let text = format!("\n\r\n{text}\n\n\t{text}{text}\n");
         for at in 0..=text.len() {
             let (a, b) = text.as_bytes().split_at(at);
-            assert_eq!(read([a, b]).expect("objects"), vec![list(); 3], "split at {at}");
+            assert_eq!(read([a, b]).expect("lists"), expected, "split at {at}");
         }
-        assert_eq!(read(text.as_bytes().chunks(1)).expect("objects"), vec![list(); 3]);
+        assert_eq!(read(text.as_bytes().chunks(1)).expect("lists"), expected);
+    }
+}
+
+#[test]
+fn white_space_within_a_list_parts_and_joins_nothing() {
+    let text = "{\"revision\":\n\n 1 ,\r\n \"members\" : [ {\"id\": \"b  c\"\n, \"cell\":\t2,\"phase\" : \"X\"} ] }";
+    let lists = read([text.as_bytes()]).expect("a list");
+    assert_eq!(lists, [whole(text)]);
+    assert_eq!((lists[0].revision, &*lists[0].members[0].id), (1, "b  c"));
+    for text in [
+        "{\"revision\": 1\n 2}",
+        "{\"members\": [{\"id\": \"a\", \"phase\": \"SERVING\", \"cell\": 1 2}]}",
+    ] {
+        assert!(read([text.as_bytes()]).is_err(), "no 12");
+    }
+}
+
+#[test]
+fn what_is_no_list_ends_the_stream() {
+    let texts = [
+        "nothing",
+        "}",
+        "]{}",
+        "{\"a\":}",
+        "{]",
+        "{\"a\": 1]",
+        "<html>{}",
+        "\u{7f}{}",
+        "[1, true, []]",
+        "{\"members\": 7}",
+        "{\"members\": null}",
+        "{\"members\": [], \"members\": {}}",
+        "{\"revision\": -1}",
+        "{\"members\": [,]}",
+        "{\"members\": [{},]}",
+        "{\"members\": [{}{}]}",
+        "{\"members\": [{}}",
+        "{\"members\": [}",
+        "{\"members\": [{\"a\":}]}",
+        "{\"members\": [nothing]}",
+        "{\"members\": [1 2]}",
+        "{\"members\" []}",
+        "{\"members\": []",
+    ];
+    for text in &texts[..texts.len() - 1] {
+        assert!(matches!(read([text.as_bytes()]), Err(ObjectError::Malformed(_))), "{text:?}");
+    }
+    // Only broken off.
+    assert_eq!(read([texts[texts.len() - 1].as_bytes()]).expect("nothing yet"), []);
+}
+
+#[test]
+fn an_entry_that_can_t_be_read_costs_itself_alone() {
+    let entries = [
+        "{\"id\": \"a\", \"phase\": \"SERVING\", \"phase\": \"DRAINING\"}",
+        "{}",
+        "7",
+        "\"text, ] and }\"",
+        "[[1], {\"id\": 1}]",
+        "null",
+        "-1e3",
+        "{\"id\": \"b\", \"phase\": \"SERVING\", \"cell\": \"x\"}",
+        "{\"id\": \"c\", \"phase\": \"SOMETHING\", \"host_port\": \"nowhere\"}",
+    ];
+    for parted in [",", " ,\n "] {
+        let text = format!("{{\"members\": [{}]}}", entries.join(parted));
+        let lists = read(text.as_bytes().chunks(1)).expect("a list");
+        assert_eq!(lists, [whole(&text)]);
+        let ids: Vec<&str> = lists[0].members.iter().map(|entry| &*entry.id).collect();
+        assert_eq!(ids, ["a", "c"]);
+        assert_eq!(
+            lists[0].members[0].phase,
+            crate::members::Phase::Draining,
+            "the last one counts"
+        );
+        assert_eq!(lists[0].members[1].address, None);
     }
 }
 
 #[test]
-fn white_space_within_an_object_parts_and_joins_nothing() {
-    let text = b"{\"a\":\n\n 1 ,\r\n \"b  c\" : [ 2\n, 3 ] }".as_slice();
-    assert_eq!(read([text]).expect("an object"), [json!({"a": 1, "b  c": [2, 3]})]);
-    assert!(read([b"{\"a\": 1\n 2}".as_slice()]).is_err(), "no 12");
+fn of_a_key_that_occurs_twice_the_last_one_counts() {
+    let entry = |id: &str| format!("{{\"id\": \"{id}\", \"phase\": \"SERVING\"}}");
+    let (a, b, c) = (entry("a"), entry("b"), entry("c"));
+    let text = format!(
+        "{{\"revision\": 1, \"members\": [{a}, {b}], \"revision\": 2, \"m\\u0065mbers\": [{c}], \"complete\": true}}"
+    );
+    let lists = read([text.as_bytes()]).expect("a list");
+    assert_eq!(lists, [whole(&text)]);
+    assert_eq!((lists[0].revision, lists[0].members.len(), lists[0].complete), (2, 1, true));
 }
 
 #[test]
-fn what_is_no_object_ends_the_stream() {
-    for text in ["nothing", "}", "]{}", "{\"a\":}", "{]", "{\"a\": 1]", "<html>{}", "\u{7f}{}"] {
-        let text = text.as_bytes();
-        assert!(matches!(read([text]), Err(ObjectError::Malformed(_))), "{text:?}");
+fn an_entry_may_be_as_long_as_its_bound_and_no_longer() {
+    let of_length = |length: usize| {
+        let text =
+            |more: &str| format!("{{\"id\":\"a\",\"phase\":\"SERVING\",\"more\":\"{more}\"}}");
+        let text = text(&"x".repeat(length - text("").len()));
+        format!("{{\"members\":[{text}]}}")
+    };
+    let lists = read([of_length(MAX_ENTRY_LENGTH).as_bytes()]).expect("within the bound");
+    assert_eq!(lists[0].members.len(), 1);
+    let error = read([of_length(MAX_ENTRY_LENGTH + 1).as_bytes()]).expect_err("beyond it");
+    assert!(matches!(error, ObjectError::EntryTooLong));
+    assert!(error.to_string().contains("65536"), "{error}");
+}
+
+#[test]
+fn the_outline_may_be_as_long_as_its_bound_and_no_longer() {
+    let of_length = |length: usize| {
+        let text = |more: &str| format!("{{\"more\":\"{more}\",\"members\":[]}}");
+        // Entries are no part of it.
+        let entry = "{\"id\":\"a\",\"phase\":\"SERVING\"}";
+        text(&"x".repeat(length - text("").len())).replace("[]", &format!("[{entry},{entry}]"))
+    };
+    let lists = read([of_length(MAX_OUTLINE_LENGTH).as_bytes()]).expect("within the bound");
+    assert_eq!(lists[0].members.len(), 2);
+    let error = read([of_length(MAX_OUTLINE_LENGTH + 1).as_bytes()]).expect_err("beyond it");
+    assert!(matches!(error, ObjectError::OutlineTooLong));
+}
+
+#[test]
+fn values_may_lie_as_deep_as_the_bound_and_no_deeper() {
+    let nested = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let around = |depth: usize| format!("{{\"more\": {}}}", nested(depth - 1));
+    let within = |depth: usize| {
+        let more = nested(depth - 3);
+        format!("{{\"members\": [{{\"id\": \"a\", \"phase\": \"SERVING\", \"more\": {more}}}]}}")
+    };
+    assert_eq!(read([around(MAX_DEPTH).as_bytes()]).expect("a list").len(), 1);
+    assert_eq!(read([within(MAX_DEPTH).as_bytes()]).expect("a list")[0].members.len(), 1);
+    for text in [around(MAX_DEPTH + 1), within(MAX_DEPTH + 1)] {
+        assert!(matches!(read([text.as_bytes()]), Err(ObjectError::TooDeep)));
     }
 }
 
 #[test]
-fn an_object_without_end_is_given_up_within_the_bound() {
-    let (mut objects, mut pieces) = (Objects::default(), 0);
-    let mut take = |piece: &[u8]| objects.take(piece, |_: Value| panic!("an object"));
-    take(b"{\"a\": \"").expect("it begins");
-    let piece = [b'x'; 1 << 16];
-    while take(&piece).is_ok() {
-        pieces += 1;
-        assert!(pieces <= LONGEST_OBJECT / piece.len(), "no bound");
+fn a_list_may_have_as_many_entries_as_the_bound_and_no_more() {
+    let of_count = |count: usize| {
+        let entry = |i| format!("{{\"id\":\"{i}\",\"phase\":\"SERVING\"}},");
+        let entries: String = (0..count).map(entry).collect();
+        // One that can't be read is not kept.
+        format!("{{\"members\":[{entries}{{}}]}}")
+    };
+    let lists = read([of_count(MAX_ENTRIES).as_bytes()]).expect("within the bound");
+    assert_eq!(lists[0].members.len(), MAX_ENTRIES);
+    let error = read([of_count(MAX_ENTRIES + 1).as_bytes()]).expect_err("beyond it");
+    assert!(matches!(error, ObjectError::TooManyEntries));
+    assert!(error.to_string().contains("100000"), "{error}");
+}
+
+#[test]
+fn ids_may_be_as_long_as_their_bound_and_no_longer() {
+    const LENGTH: usize = 1 << 15;
+    let of_bytes = |bytes: usize| {
+        let entry = |length| format!("{{\"id\":\"{}\",\"phase\":\"SERVING\"}}", "x".repeat(length));
+        let mut entries = vec![entry(LENGTH); bytes / LENGTH];
+        entries.push(entry(bytes % LENGTH));
+        format!("{{\"members\":[{}]}}", entries.join(","))
+    };
+    assert!(read([of_bytes(MAX_ID_BYTES).as_bytes()]).is_ok());
+    let error = read([of_bytes(MAX_ID_BYTES + 1).as_bytes()]).expect_err("beyond the bound");
+    assert!(matches!(error, ObjectError::IdsTooLong));
+}
+
+#[test]
+fn what_never_ends_is_given_up_within_the_bounds() {
+    let begun =
+        ["{\"a\": \"", "{\"members\": [\"", "{\"members\": [{\"id\": \"", "{\"members\": [7"];
+    for begin in begun {
+        let (mut objects, mut bytes) = (Objects::default(), 0);
+        let mut take = |piece: &[u8]| objects.take(piece, |_| panic!("a list"));
+        take(begin.as_bytes()).expect("it begins");
+        let piece = [b'1'; 1 << 10];
+        while take(&piece).is_ok() {
+            bytes += piece.len();
+            assert!(bytes <= MAX_OUTLINE_LENGTH, "no bound");
+        }
+        assert!(objects.outline.len() <= MAX_OUTLINE_LENGTH + 1);
+        assert!(objects.entry.len() <= MAX_ENTRY_LENGTH + 1);
     }
-    assert!(objects.text.len() <= LONGEST_OBJECT + 1);
-    // White space is no growth.
-    let mut objects = Objects::default();
-    for _ in 0..=LONGEST_OBJECT / piece.len() {
-        objects.take(&[b' '; 1 << 16], |_: Value| panic!("an object")).expect("heartbeats");
+    // White space is no growth, nor are heartbeats.
+    for begin in ["", "{", "{\"members\": [", "{\"members\": [{"] {
+        let mut objects = Objects::default();
+        objects.take(begin.as_bytes(), |_| panic!("a list")).expect("it begins");
+        for _ in 0..100 {
+            objects.take(&[b' '; 1 << 16], |_| panic!("a list")).expect("heartbeats");
+        }
+        assert!(objects.outline.len() + objects.entry.len() <= begin.len() + 2);
     }
-    assert!(objects.text.is_empty());
 }
--- a/crates/gateway/src/relisted.rs
+++ b/crates/gateway/src/relisted.rs
@@ -28,10 +28,10 @@
         Belief::Cautious => false,
         Belief::Nothing => return None,
     };
-    let named: FxHashSet<&str> = known.members.iter().map(|m| m.id.as_str()).collect();
+    let named: FxHashSet<&str> = known.members.iter().map(|m| &*m.id).collect();
     let mut list = List { revision: known.revision, complete: whole, ..stored.clone() };
     for entry in &mut list.members {
-        if !whole && entry.phase == Phase::Serving && !named.contains(entry.id.as_str()) {
+        if !whole && entry.phase == Phase::Serving && !named.contains(&*entry.id) {
             entry.up_since_ms = now.as_secs_f64() * 1e3;
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::config::Config;
 use crate::engine::{Door, Engine, EngineError};
 use crate::kept::{Keeper, Kept, Recovered};
+use crate::members::List;
 use crate::operators::{Operated, Operating, Operators};
 use crate::tasks::AbortOnDrop;
 use crate::upstreams::Pool;
@@ -112,7 +113,7 @@
 /// configuration that comes on `reloads` moves the watch to the discovery it names.
 /// Must run inside a `LocalSet`.
 pub async fn serve(
-    config: Config,
+    mut config: Config,
     network: Rc<dyn Network>,
     listener: Box<dyn Listener>,
     provided: Provided,
@@ -131,6 +132,8 @@
     let (reader, news) = bank.map_or((None, None), |link| (Some(link.reader), Some(link.news)));
     let reader = reader.map(|r| Rc::new(r) as Rc<dyn Rulebook>);
     let (engine, handle) = Engine::new(&config, relisted, pool, network, reader)?;
+    // The engine has its own records of it; the rest of the configuration stays for as long as this serves.
+    config.known = List::default();
     let mut engine = AbortOnDrop(tokio::task::spawn_local(engine.run()));
     let tell = handle.banker();
     let _news = news.map(|mut news| {
--- /dev/null
+++ b/crates/gateway/src/subsetting/tests.rs
@@ -0,0 +1,109 @@
+use super::*;
+
+fn fleet(n: u32) -> Vec<Member> {
+    let of = |i: u32| Member { cell: i / 8, ..Member::live(ServerId(i)) };
+    (0..n).map(of).collect()
+}
+
+/// Finds a member of this fleet.
+fn among(fleet: &[Member]) -> impl Fn(ServerId) -> Option<Member> {
+    |id| fleet.iter().find(|m| m.id == id).copied()
+}
+
+fn subsetting() -> Subsetting {
+    let size = Size { times: 1.0, least: 16, linger: 1000, well: 0.5 };
+    Subsetting::new(size, Bank { balancers: 10, position: 0 }).expect("a size")
+}
+
+/// What the module has after it was told.
+fn apply(has: &mut FxHashMap<ServerId, Status>, kind: ListKind, told: &[Member]) {
+    if kind != ListKind::Update {
+        has.clear();
+    }
+    for m in told {
+        match m.status {
+            Status::Gone => assert!(has.remove(&m.id).is_some(), "gone, and never there"),
+            status => drop(has.insert(m.id, status)),
+        }
+    }
+}
+
+#[test]
+fn the_module_has_whole_cells_and_hears_of_every_drain_among_them() {
+    let (mut of, mut has) = (subsetting(), FxHashMap::default());
+    let mut all = fleet(400);
+    apply(&mut has, ListKind::Whole, &of.listed(Time(0), ListKind::Whole, &all, among(&all)));
+    assert_eq!(has.len(), 40);
+    assert_eq!(of.sharers(), 1.0, "a tenth of the fleet each, of ten balancers");
+    let cells: FxHashSet<u32> = has.keys().map(|id| id.0 / 8).collect();
+    assert_eq!(cells.len(), 5, "whole cells");
+    let outside = all.iter().find(|m| !has.contains_key(&m.id)).expect("most are").id.0 as usize;
+    let inside = has.keys().next().expect("some are").0 as usize;
+    for i in [outside, inside] {
+        all[i].status = Status::Draining;
+        apply(
+            &mut has,
+            ListKind::Update,
+            &of.listed(Time(1), ListKind::Update, &all[i..i + 1], among(&all)),
+        );
+    }
+    assert_eq!(has.get(&all[inside].id), Some(&Status::Draining));
+    assert!(!has.contains_key(&all[outside].id));
+}
+
+#[test]
+fn what_leaves_the_subset_is_gone_for_the_module_once_it_has_lingered() {
+    let (mut of, mut has) = (subsetting(), FxHashMap::default());
+    let all = fleet(400);
+    apply(&mut has, ListKind::Whole, &of.listed(Time(0), ListKind::Whole, &all, among(&all)));
+    let before: Vec<ServerId> = has.keys().copied().collect();
+    // Three cells of the five are deleted: others take their part at once.
+    let mut gone: Vec<Member> = all.iter().filter(|m| has.contains_key(&m.id)).copied().collect();
+    gone.truncate(24);
+    gone.iter_mut().for_each(|m| m.status = Status::Gone);
+    apply(&mut has, ListKind::Update, &of.listed(Time(1), ListKind::Update, &gone, among(&all)));
+    assert!(has.len() >= 36, "{} left", has.len());
+    // They come back: the ones that stood in for them linger.
+    gone.iter_mut().for_each(|m| m.status = Status::Live);
+    apply(&mut has, ListKind::Update, &of.listed(Time(2), ListKind::Update, &gone, among(&all)));
+    assert!(has.len() > 40);
+    apply(&mut has, ListKind::Update, &of.passed(Time(1500), among(&all)));
+    let mut after: Vec<ServerId> = has.keys().copied().collect();
+    let mut before = before;
+    before.sort_unstable();
+    after.sort_unstable();
+    assert_eq!(after, before);
+}
+
+#[test]
+fn nobody_is_named_twice_when_the_subset_changes_with_the_list() {
+    let (mut of, mut has) = (subsetting(), FxHashMap::default());
+    let all = fleet(80);
+    apply(&mut has, ListKind::Whole, &of.listed(Time(0), ListKind::Whole, &all, among(&all)));
+    // Ten times as many come, and the subset grows with them.
+    let more: Vec<Member> = fleet(800).split_off(80);
+    let told = of.listed(Time(1), ListKind::Update, &more, among(&fleet(800)));
+    let named: FxHashSet<ServerId> = told.iter().map(|m| m.id).collect();
+    assert!(named.len() > 8, "{} named", named.len());
+    assert_eq!(named.len(), told.len(), "somebody is named twice");
+    apply(&mut has, ListKind::Update, &told);
+    // And leave again, with some of whom the module knows.
+    let gone: Vec<Member> = more.iter().map(|m| Member { status: Status::Gone, ..*m }).collect();
+    let told = of.listed(Time(2), ListKind::Update, &gone, among(&fleet(800)));
+    let named: FxHashSet<ServerId> = told.iter().map(|m| m.id).collect();
+    assert_eq!(named.len(), told.len(), "somebody is named twice");
+    apply(&mut has, ListKind::Update, &told);
+    assert!(has.keys().all(|id| id.0 < 80));
+}
+
+#[test]
+fn a_subset_that_is_silent_is_widened() {
+    let (mut of, mut has) = (subsetting(), FxHashMap::default());
+    apply(
+        &mut has,
+        ListKind::Whole,
+        &of.listed(Time(0), ListKind::Whole, &fleet(400), among(&fleet(400))),
+    );
+    apply(&mut has, ListKind::Update, &of.seen(Time(1), 40, 3, among(&fleet(400))));
+    assert_eq!(has.len(), 80);
+}
--- a/crates/gateway/src/telling.rs
+++ b/crates/gateway/src/telling.rs
@@ -2,9 +2,10 @@
 //! it. Pure; what is on a list, and whom a subset leaves out, is said by then.
 
 use std::collections::VecDeque;
+use std::hash::Hasher;
 
 use hollowpaddle_policy::interface::{ListKind, Member, ServerId, Status};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 
 /// A list of up to this length goes over as it is.
 const SHORT: usize = 256;
@@ -13,13 +14,52 @@
 const PART: usize = 64;
 
 /// What the module has been told of each upstream, or is about to be.
+///
+/// Of those that it has been told of only a fingerprint is kept. A copy of each member would be a third of all that the
+/// gateway holds of an upstream.
 #[derive(Default)]
 pub struct Telling {
-    latest: FxHashMap<ServerId, Member>,
+    latest: FxHashMap<ServerId, Fingerprint>,
     /// The order in which it is told of those that wait. A place whose upstream waits no more is passed over.
     due: VecDeque<ServerId>,
-    /// Whom it has yet to be told of.
-    waiting: FxHashSet<ServerId>,
+    /// Whom it has yet to be told of, as last listed.
+    waiting: FxHashMap<ServerId, Member>,
+}
+
+/// Tells whether two descriptions of an upstream are the same: its status, and a hash of all else. Two that differ in
+/// something else agree by chance, one time in 2^62; then the module keeps the older one until the next change.
+#[derive(Clone, Copy, PartialEq)]
+struct Fingerprint(u64);
+
+impl Fingerprint {
+    const STATUS_BITS: u32 = 2;
+
+    fn of(member: &Member) -> Self {
+        // Named field by field: one that is added must not be left out.
+        let Member { id: _, identity, zone, kind, cell, status, weight, started, barred } = *member;
+        let mut hasher = FxHasher::default();
+        hasher.write_u64(identity);
+        hasher.write_u64(u64::from(zone) << 32 | u64::from(kind));
+        hasher.write_u32(cell);
+        hasher.write_u64(weight.to_bits());
+        hasher.write_u64(barred);
+        hasher.write_u8(started.is_some().into());
+        hasher.write_i64(started.map_or(0, |at| at.0));
+        Self(hasher.finish() << Self::STATUS_BITS | Self::status_bits(status))
+    }
+
+    fn status_bits(status: Status) -> u64 {
+        match status {
+            Status::Live => 0,
+            Status::Draining => 1,
+            Status::Gone => 2,
+        }
+    }
+
+    fn is_gone(self) -> bool {
+        let status = self.0 & ((1 << Self::STATUS_BITS) - 1);
+        status == Self::status_bits(Status::Gone)
+    }
 }
 
 /// A list, or a part of one, as the module is to be told of it.
@@ -30,38 +70,53 @@
 }
 
 impl Telling {
-    /// Takes in a list; what the module is to be told now. More may be due.
-    pub fn listed(&mut self, kind: ListKind, members: Vec<Member>) -> Part {
+    /// Takes in a list; what the module is to be told now. More may be due. `last` finds whom a whole list left out, as
+    /// listed before.
+    pub fn listed(
+        &mut self,
+        kind: ListKind,
+        members: Vec<Member>,
+        last: impl Fn(ServerId) -> Option<Member>,
+    ) -> Part {
         let short = members.len() <= SHORT && self.latest.len() <= SHORT && !self.is_due();
         // At the start nobody waits, and there is nothing to compare with.
         if short || kind == ListKind::Unavailable || self.latest.is_empty() {
             if !kind.is_part() {
                 self.latest.clear();
             }
-            self.latest.extend(members.iter().map(|m| (m.id, *m)));
-            self.latest.retain(|_, m| m.status != Status::Gone);
+            for member in &members {
+                match member.status {
+                    Status::Gone => self.latest.remove(&member.id),
+                    _ => self.latest.insert(member.id, Fingerprint::of(member)),
+                };
+            }
             return Part { kind, members };
         }
         if !kind.is_part() {
             let named: FxHashSet<ServerId> = members.iter().map(|m| m.id).collect();
-            let left = self.latest.values().filter(|m| !named.contains(&m.id));
-            let mut left: Vec<Member> = left.copied().collect();
-            left.sort_unstable_by_key(|m| m.id);
-            left.into_iter().for_each(|m| self.change(Member { status: Status::Gone, ..m }));
+            let left =
+                self.latest.iter().filter(|(id, told)| !named.contains(id) && !told.is_gone());
+            let mut left: Vec<ServerId> = left.map(|(id, _)| *id).collect();
+            left.sort_unstable();
+            for id in left {
+                let member = last(id).unwrap_or_else(|| Member::live(id));
+                self.change(Member { status: Status::Gone, ..member });
+            }
         }
         members.into_iter().for_each(|m| self.change(m));
         let kind = match kind {
             ListKind::Whole | ListKind::Update => ListKind::Update,
             _ => ListKind::Aside,
         };
-        Part { kind, members: self.next() }
+        Part { kind, members: self.next_part() }
     }
 
     fn change(&mut self, member: Member) {
-        if self.latest.insert(member.id, member) == Some(member) {
+        let fingerprint = Fingerprint::of(&member);
+        if self.latest.insert(member.id, fingerprint) == Some(fingerprint) {
             return;
         }
-        let new = self.waiting.insert(member.id);
+        let new = self.waiting.insert(member.id, member).is_none();
         match member.status {
             Status::Live if new => self.due.push_back(member.id),
             Status::Live => {}
@@ -77,128 +132,24 @@
     }
 
     /// The next part of what is due, with the latest word of each.
-    pub fn next(&mut self) -> Vec<Member> {
+    pub fn next_part(&mut self) -> Vec<Member> {
         let mut part = Vec::with_capacity(PART.min(self.waiting.len()));
         while part.len() < PART
             && let Some(id) = self.due.pop_front()
         {
-            if !self.waiting.remove(&id) {
-                continue;
-            }
-            let Some(member) = self.latest.get(&id).copied() else { continue };
+            let Some(member) = self.waiting.remove(&id) else { continue };
             if member.status == Status::Gone {
                 self.latest.remove(&id);
             }
             part.push(member);
         }
         if !self.is_due() {
-            self.due.clear();
+            // They were as many as the longest list.
+            (self.due, self.waiting) = Default::default();
         }
         part
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn all(n: u32) -> Vec<Member> {
-        (0..n).map(|i| Member::live(ServerId(i))).collect()
-    }
-
-    /// All that is told of a list, part by part, into what the module has.
-    fn told(of: &mut Telling, has: &mut FxHashMap<ServerId, Member>, part: Part) -> usize {
-        let mut parts = 1;
-        let mut tell = |kind: ListKind, members: Vec<Member>| {
-            if !kind.is_part() {
-                has.clear();
-            }
-            has.extend(members.into_iter().map(|m| (m.id, m)));
-            has.retain(|_, m| m.status != Status::Gone);
-        };
-        tell(part.kind, part.members);
-        while of.is_due() {
-            let next = of.next();
-            assert!(!next.is_empty() && next.len() <= PART);
-            tell(ListKind::Update, next);
-            parts += 1;
-        }
-        parts
-    }
-
-    #[test]
-    fn a_long_list_is_told_in_parts_and_comes_to_the_same() {
-        let (mut of, mut has) = (Telling::default(), FxHashMap::default());
-        let part = of.listed(ListKind::Restored, all(10_000));
-        assert_eq!(told(&mut of, &mut has, part), 1, "nobody waits at the start");
-        // The same again changes nothing, and is still a word of the watch.
-        let part = of.listed(ListKind::Whole, all(10_000));
-        assert_eq!(part, Part { kind: ListKind::Update, members: vec![] });
-        // Half are left out, and a tenth drains.
-        let mut list = all(5000);
-        list[..500].iter_mut().for_each(|m| m.weight = 2.0);
-        list[500..1000].iter_mut().for_each(|m| m.status = Status::Draining);
-        let part = of.listed(ListKind::Whole, list.clone());
-        assert!(told(&mut of, &mut has, part) > 5500 / PART);
-        assert_eq!(has, list.into_iter().map(|m| (m.id, m)).collect());
-    }
-
-    #[test]
-    fn whom_nothing_may_be_sent_to_goes_first() {
-        let (mut of, mut has) = (Telling::default(), FxHashMap::default());
-        let part = of.listed(ListKind::Restored, all(1000));
-        told(&mut of, &mut has, part);
-        let mut list = all(1000);
-        list.iter_mut().for_each(|m| m.weight = 2.0);
-        list[990..].iter_mut().for_each(|m| m.status = Status::Draining);
-        let part = of.listed(ListKind::Whole, list);
-        let drains = part.members.iter().filter(|m| m.status == Status::Draining).count();
-        assert_eq!((part.members.len(), drains), (PART, 10));
-    }
-
-    #[test]
-    fn one_that_waits_as_live_and_is_drained_then_goes_first_and_once() {
-        // Failure: it kept its place behind all that had started anew.
-        let (mut of, mut has) = (Telling::default(), FxHashMap::default());
-        let part = of.listed(ListKind::Restored, all(1000));
-        told(&mut of, &mut has, part);
-        let mut list = all(1000);
-        list.iter_mut().for_each(|m| m.weight = 2.0);
-        assert_eq!(of.listed(ListKind::Whole, list).members.len(), PART);
-        let drained = Member { status: Status::Draining, ..Member::live(ServerId(999)) };
-        let part = of.listed(ListKind::Update, vec![drained]);
-        assert_eq!(part.members[0], drained);
-        let mut times = part.members.iter().filter(|m| m.id == drained.id).count();
-        while of.is_due() {
-            times += of.next().iter().filter(|m| m.id == drained.id).count();
-        }
-        assert_eq!((times, of.due.is_empty()), (1, true));
-    }
-
-    #[test]
-    fn a_newer_word_is_not_undone_by_what_was_due_before_it() {
-        let (mut of, mut has) = (Telling::default(), FxHashMap::default());
-        let part = of.listed(ListKind::Restored, all(1000));
-        told(&mut of, &mut has, part);
-        let drained = |m: Member| Member { status: Status::Draining, ..m };
-        let part = of.listed(ListKind::Whole, all(1000).into_iter().map(drained).collect());
-        assert!(of.is_due());
-        has.extend(part.members.into_iter().map(|m| (m.id, m)));
-        // In the middle of it the last one is live again, and the first is gone.
-        let gone = Member { status: Status::Gone, ..Member::live(ServerId(0)) };
-        let part = of.listed(ListKind::Update, vec![Member::live(ServerId(999)), gone]);
-        told(&mut of, &mut has, part);
-        assert_eq!((has.len(), has[&ServerId(999)].status), (999, Status::Live));
-        assert!(has.values().filter(|m| m.status == Status::Draining).count() == 998);
-    }
-
-    #[test]
-    fn a_short_list_goes_over_as_it_is() {
-        let mut of = Telling::default();
-        for kind in [ListKind::Restored, ListKind::Whole, ListKind::Update, ListKind::Aside] {
-            let part = of.listed(kind, all(200));
-            assert_eq!(part, Part { kind, members: all(200) });
-        }
-        assert!(!of.is_due());
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/telling/tests.rs
@@ -0,0 +1,142 @@
+use super::*;
+
+/// What is known of those that a whole list left out: nothing.
+fn nobody(_: ServerId) -> Option<Member> {
+    None
+}
+
+fn all(n: u32) -> Vec<Member> {
+    (0..n).map(|i| Member::live(ServerId(i))).collect()
+}
+
+/// All that is told of a list, part by part, into what the module has.
+fn told(of: &mut Telling, has: &mut FxHashMap<ServerId, Member>, part: Part) -> usize {
+    let mut parts = 1;
+    let mut tell = |kind: ListKind, members: Vec<Member>| {
+        if !kind.is_part() {
+            has.clear();
+        }
+        has.extend(members.into_iter().map(|m| (m.id, m)));
+        has.retain(|_, m| m.status != Status::Gone);
+    };
+    tell(part.kind, part.members);
+    while of.is_due() {
+        let next = of.next_part();
+        assert!(!next.is_empty() && next.len() <= PART);
+        tell(ListKind::Update, next);
+        parts += 1;
+    }
+    parts
+}
+
+#[test]
+fn a_long_list_is_told_in_parts_and_comes_to_the_same() {
+    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let part = of.listed(ListKind::Restored, all(10_000), nobody);
+    assert_eq!(told(&mut of, &mut has, part), 1, "nobody waits at the start");
+    // The same again changes nothing, and is still a word of the watch.
+    let part = of.listed(ListKind::Whole, all(10_000), nobody);
+    assert_eq!(part, Part { kind: ListKind::Update, members: vec![] });
+    // Half are left out, and a tenth drains.
+    let mut list = all(5000);
+    list[..500].iter_mut().for_each(|m| m.weight = 2.0);
+    list[500..1000].iter_mut().for_each(|m| m.status = Status::Draining);
+    let part = of.listed(ListKind::Whole, list.clone(), nobody);
+    assert!(told(&mut of, &mut has, part) > 5500 / PART);
+    assert_eq!(has, list.into_iter().map(|m| (m.id, m)).collect());
+}
+
+#[test]
+fn whom_nothing_may_be_sent_to_goes_first() {
+    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let part = of.listed(ListKind::Restored, all(1000), nobody);
+    told(&mut of, &mut has, part);
+    let mut list = all(1000);
+    list.iter_mut().for_each(|m| m.weight = 2.0);
+    list[990..].iter_mut().for_each(|m| m.status = Status::Draining);
+    let part = of.listed(ListKind::Whole, list, nobody);
+    let drains = part.members.iter().filter(|m| m.status == Status::Draining).count();
+    assert_eq!((part.members.len(), drains), (PART, 10));
+}
+
+#[test]
+fn one_that_waits_as_live_and_is_drained_then_goes_first_and_once() {
+    // Failure: it kept its place behind all that had started anew.
+    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let part = of.listed(ListKind::Restored, all(1000), nobody);
+    told(&mut of, &mut has, part);
+    let mut list = all(1000);
+    list.iter_mut().for_each(|m| m.weight = 2.0);
+    assert_eq!(of.listed(ListKind::Whole, list, nobody).members.len(), PART);
+    let drained = Member { status: Status::Draining, ..Member::live(ServerId(999)) };
+    let part = of.listed(ListKind::Update, vec![drained], nobody);
+    assert_eq!(part.members[0], drained);
+    let mut times = part.members.iter().filter(|m| m.id == drained.id).count();
+    while of.is_due() {
+        times += of.next_part().iter().filter(|m| m.id == drained.id).count();
+    }
+    assert_eq!((times, of.due.is_empty()), (1, true));
+}
+
+#[test]
+fn a_newer_word_is_not_undone_by_what_was_due_before_it() {
+    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let part = of.listed(ListKind::Restored, all(1000), nobody);
+    told(&mut of, &mut has, part);
+    let drained = |m: Member| Member { status: Status::Draining, ..m };
+    let part = of.listed(ListKind::Whole, all(1000).into_iter().map(drained).collect(), nobody);
+    assert!(of.is_due());
+    has.extend(part.members.into_iter().map(|m| (m.id, m)));
+    // In the middle of it the last one is live again, and the first is gone.
+    let gone = Member { status: Status::Gone, ..Member::live(ServerId(0)) };
+    let part = of.listed(ListKind::Update, vec![Member::live(ServerId(999)), gone], nobody);
+    told(&mut of, &mut has, part);
+    assert_eq!((has.len(), has[&ServerId(999)].status), (999, Status::Live));
+    assert!(has.values().filter(|m| m.status == Status::Draining).count() == 998);
+}
+
+#[test]
+fn a_short_list_goes_over_as_it_is() {
+    let mut of = Telling::default();
+    for kind in [ListKind::Restored, ListKind::Whole, ListKind::Update, ListKind::Aside] {
+        let part = of.listed(kind, all(200), nobody);
+        assert_eq!(part, Part { kind, members: all(200) });
+    }
+    assert!(!of.is_due());
+}
+
+#[test]
+fn those_that_a_whole_list_leaves_out_are_gone_as_they_were_last() {
+    let mut of = Telling::default();
+    let last = |id| Some(Member { zone: 3, cell: 7, ..Member::live(id) });
+    let members: Vec<Member> = (0..1000).map(ServerId).filter_map(last).collect();
+    of.listed(ListKind::Restored, members.clone(), last);
+    let part = of.listed(ListKind::Whole, members[..990].to_vec(), last);
+    let gone = |m: &Member| Member { status: Status::Gone, ..*m };
+    let mut told = part.members;
+    told.sort_unstable_by_key(|m| m.id);
+    assert_eq!(told, members[990..].iter().map(gone).collect::<Vec<_>>());
+    assert!(!of.is_due());
+    // And once.
+    assert_eq!(of.listed(ListKind::Whole, members[..990].to_vec(), last).members, []);
+}
+
+#[test]
+fn every_field_of_a_member_is_news() {
+    let listed = Member::live(ServerId(7));
+    let started = Some(hollowpaddle_policy::interface::Time(0));
+    let changed = [
+        Member { identity: 8, ..listed },
+        Member { zone: 1, ..listed },
+        Member { kind: 1, ..listed },
+        Member { cell: 1, ..listed },
+        Member { status: Status::Draining, ..listed },
+        Member { status: Status::Gone, ..listed },
+        Member { weight: 2.0, ..listed },
+        Member { started, ..listed },
+        Member { barred: 1, ..listed },
+    ];
+    for member in changed {
+        assert!(Fingerprint::of(&member) != Fingerprint::of(&listed), "{member:?}");
+    }
+}
