Test the daemon with a list of 39,000 upstreams, and with one beyond the bound

Need: tests of the reader alone don't show that a daemon becomes ready on such a list.

One test writes 39,000 entries (6 MB) to a watch, of which one serves: the daemon becomes ready, routes to that one, and hears later changes on the same watch. The other writes one entry more than MAX_ENTRIES: the watch ends, discovery is asked again from the same version, and what was known is still routed to.

--- a/tests/node/watches.rs
+++ b/tests/node/watches.rs
@@ -124,3 +124,74 @@
     chunk(&mut second, &at(8, false, &a).to_string());
     served_by(&mut client, "a");
 }
+
+/// Writes a list of this many upstreams to a watch, in pieces of a few entries.
+fn write_long_list(watch: &mut std::net::TcpStream, count: usize, entry: impl Fn(usize) -> Value) {
+    chunk(watch, "{\"members\":[");
+    for from in (0..count).step_by(500) {
+        let entries = (from..count.min(from + 500)).map(|i| entry(i).to_string());
+        let entries = entries.collect::<Vec<_>>().join(",\n");
+        chunk(watch, if from > 0 { "," } else { "\n" });
+        chunk(watch, &entries);
+    }
+    chunk(watch, "],\"revision\":42,\"complete\":true}\n");
+}
+
+#[test]
+fn a_list_of_39_000_upstreams_is_taken_and_routed_to() {
+    const COUNT: usize = 39_000;
+    let (only, drained) = (Upstream::start(|_| ok("only")), Upstream::start(|_| ok("drained")));
+    let node = start(&config(vec![]));
+    let mut client = node.client();
+    let ready = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    assert_ne!(client.ask(ready).status(), 200, "nobody is known yet");
+    let (_, mut watch) = node.discovery.watch();
+    // Whoever serves is in the middle, and nothing is sent to any other.
+    write_long_list(&mut watch, COUNT, |i| {
+        let serves = i == COUNT / 2;
+        let (address, phase) =
+            if serves { (only.address, "SERVING") } else { (drained.address, "DRAINING") };
+        let mut entry = member(&format!("upstream-{i}.zone-a.internal"), address, phase);
+        entry["more"] = json!({"members": [{"id": "}]"}]});
+        entry
+    });
+    let from = Instant::now();
+    while client.ask(ready).status() != 200 {
+        assert!(from.elapsed() < SOON, "it is not ready");
+    }
+    for _ in 0..4 {
+        assert_eq!(client.ask(&read("r1", 5000)).body, b"only");
+    }
+    assert_eq!(drained.requests_so_far(), 0);
+    // Changes that follow are heard on the same watch.
+    let change = [
+        member("upstream-7.zone-a.internal", drained.address, "SERVING"),
+        member(&format!("upstream-{}.zone-a.internal", COUNT / 2), only.address, "DRAINING"),
+    ];
+    chunk(&mut watch, &json!({"revision": 43, "members": change}).to_string());
+    served_by(&mut client, "drained");
+    assert!(node.discovery.watches.try_recv().is_err(), "the watch was opened anew");
+}
+
+#[test]
+fn a_list_beyond_its_bound_ends_the_watch_and_costs_nothing_that_is_known() {
+    let [a, b] = ["a", "b"].map(|name| Upstream::start(move |_| ok(name)));
+    let node = start(&config(members(&[&a])));
+    let mut client = node.client();
+    served_by(&mut client, "a");
+    let (_, mut watch) = node.discovery.watch();
+    let too_many = hollowpaddle_gateway::objects::MAX_ENTRIES + 1;
+    let entry = json!({"id": "s", "phase": "DELETED"}).to_string();
+    // The watch is closed within it.
+    let text = format!("{{\"revision\":42,\"complete\":true,\"members\":[{entry}");
+    let _ = write!(watch, "{:x}\r\n{text}\r\n", text.len());
+    for _ in 0..too_many / 100 + 1 {
+        let text = format!(",{entry}").repeat(100);
+        let _ = write!(watch, "{:x}\r\n{text}\r\n", text.len());
+    }
+    let (call, mut watch) = node.discovery.watch();
+    assert_eq!(call, "GET /api/targets?stream=1&index=41 HTTP/1.1");
+    served_by(&mut client, "a");
+    chunk(&mut watch, &at(42, true, &b).to_string());
+    served_by(&mut client, "b");
+}
