--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -3,13 +3,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollowpaddle_comeback::{Belief, SETTLED, Starts, Way, What, belief};
 use hollowpaddle_operations::{Copied, Words};
 use hollowpaddle_policy::learned::Learned;
 use hollowpaddle_snapshot::{Found, Saver, Status};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use tokio::time::{Instant, sleep};
 
 use crate::engine::Door;
@@ -62,14 +63,23 @@
     learned: Option<Learned>,
     /// When that was learned, in milliseconds of Unix time. What is only passed on grows no younger.
     learned_ms: u64,
-    /// The list as last heard.
-    list: Option<List>,
+    /// The list as last heard. Shared with what is being saved: it is as long as the fleet is large.
+    #[serde(serialize_with = "as_list", deserialize_with = "shared_list")]
+    list: Option<Arc<List>>,
     /// When that was, in milliseconds of Unix time.
     list_ms: u64,
     /// What operators have said. None: the build that saved this kept no copy, or nobody was here.
     said: Option<Words>,
 }
 
+fn as_list<S: Serializer>(list: &Option<Arc<List>>, serializer: S) -> Result<S::Ok, S::Error> {
+    list.as_deref().serialize(serializer)
+}
+
+fn shared_list<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Arc<List>>, D::Error> {
+    Ok(Option::<List>::deserialize(deserializer)?.map(Arc::new))
+}
+
 /// How a start went on, for operators.
 #[derive(Serialize)]
 struct Comeback {
@@ -291,7 +301,8 @@
                 }
             }
             self.lists.set(lists);
-            self.state.borrow_mut().list = Some(List { revision, complete: true, members });
+            let list = List { revision, complete: true, members };
+            self.state.borrow_mut().list = Some(Arc::new(list));
         }
         self.state.borrow_mut().list_ms = self.now().as_millis() as u64;
     }
--- a/crates/gateway/src/objects.rs
+++ b/crates/gateway/src/objects.rs
@@ -27,9 +27,9 @@
 /// Bytes of all ids of one list: on average 160 for each of [`MAX_ENTRIES`]. Without a bound ids as long as an entry may
 /// be would take gigabytes.
 pub const MAX_ID_BYTES: usize = 16 << 20;
-/// A stream is best handed over in pieces of at most so many bytes, with a chance for other tasks in between: about a
-/// hundred entries, which take a fraction of a millisecond to read.
-pub const PIECE_LENGTH: usize = 16 << 10;
+/// A stream is best handed over in pieces of at most so many bytes, with a chance for other tasks in between: about
+/// fifty entries, which take a fraction of a millisecond to read.
+pub const PIECE_LENGTH: usize = 8 << 10;
 
 /// Why there are no more lists in a stream.
 #[derive(Debug, thiserror::Error)]
--- a/crates/gateway/tests/list_memory.rs
+++ b/crates/gateway/tests/list_memory.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hollowpaddle_gateway::Config;
-use hollowpaddle_gateway::members::{Entry, List};
+use hollowpaddle_gateway::members::{Entry, List, Phase};
 use hollowpaddle_gateway::membership::Membership;
 use hollowpaddle_gateway::objects::{
     MAX_ENTRIES, MAX_ENTRY_LENGTH, MAX_ID_BYTES, MAX_OUTLINE_LENGTH, Objects, PIECE_LENGTH,
@@ -116,6 +116,32 @@
     }
 }
 
+/// Upstreams in one change of the list.
+const CHANGED: usize = 8;
+
+impl Holders {
+    /// The median time of a change of [`CHANGED`] upstreams.
+    fn take_changes(&mut self, count: usize) -> Duration {
+        let entries = read(&text(3, count)).0.members;
+        let mut times: Vec<Duration> = Vec::new();
+        for (i, changed) in entries.chunks_exact(CHANGED).take(100).enumerate() {
+            let revision = 3 + i as u64;
+            let mut list = List { revision, complete: false, members: changed.to_vec() };
+            list.members.iter_mut().for_each(|entry| entry.phase = Phase::Draining);
+            let begun = Instant::now();
+            let now = tokio::time::Instant::now();
+            let told = self.membership.update(&list, ListKind::Update, now);
+            let last = |id| self.membership.member(id);
+            let part = self.telling.listed(told.kind, told.members, last);
+            assert!(self.membership.any_open() && self.membership.forget().is_empty());
+            times.push(begun.elapsed());
+            assert_eq!(part.members.len(), CHANGED);
+        }
+        times.sort_unstable();
+        times[times.len() / 2]
+    }
+}
+
 /// Bytes that a list of so many upstreams takes for good, and at the most.
 fn bytes_held(config: &Config, count: usize) -> (f64, f64) {
     let (first, second) = (text(1, count), text(2, count));
@@ -130,6 +156,7 @@
     }
     let held = ALLOCATED.load(Ordering::Relaxed) - before;
     let peak = PEAK.load(Ordering::Relaxed) - before;
+    println!("{count} upstreams: a change of {CHANGED} takes {:?}", holders.take_changes(count));
     println!(
         "{count} upstreams: {held} bytes held, {peak} at the peak; longest piece and update {steps:?}"
     );
