Rename Telling to UpdateQueue

The table of STYLE.md withdraws "telling". The module queues updates of upstreams for the decision module.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -32,7 +32,7 @@
 use crate::stream::Cancellation;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
-use crate::telling::Telling;
+use crate::update_queue::UpdateQueue;
 use crate::upstreams::{Ended, Forward, Limit, Pool};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
@@ -331,7 +331,7 @@
     upstreams: Membership,
     /// Where the module is to know a part of the fleet only.
     subset: Option<Subsetting>,
-    telling: Telling,
+    update_queue: UpdateQueue,
     ready: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
     discovery: SocketAddr,
@@ -417,7 +417,7 @@
             pool,
             upstreams: Membership::new(config, grace.saturating_sub(DRAIN_MARGIN)),
             subset,
-            telling: Telling::default(),
+            update_queue: UpdateQueue::default(),
             ready,
             heard,
             discovery: config.discovery,
@@ -510,9 +510,9 @@
             }
             Note::Watched { serial, news } => self.heard(serial, news),
             Note::Moved(discovery) => self.moved(discovery),
-            Note::Part if !self.telling.is_due() => {}
+            Note::Part if !self.update_queue.is_due() => {}
             Note::Part => {
-                let list = self.telling.next_part();
+                let list = self.update_queue.next_part();
                 self.tell_part(ListKind::Aside, &list);
             }
             Note::Learned(reply) => drop(reply.send(self.balancer.learned())),
@@ -779,7 +779,7 @@
             None => members,
         };
         let last = |id| self.upstreams.member(id);
-        let part = self.telling.listed(kind, list, last);
+        let part = self.update_queue.listed(kind, list, last);
         self.tell_part(part.kind, &part.members);
     }
 
@@ -803,7 +803,7 @@
 
     /// Tells the module a part of a list. The rest follows behind whatever has come by now.
     fn tell_part(&mut self, kind: ListKind, list: &[d::Member]) {
-        if self.telling.is_due() {
+        if self.update_queue.is_due() {
             let _ = self.own_notes.send(Note::Part);
         }
         self.tell(Event::Members { kind, list });
@@ -820,7 +820,7 @@
         list.extend(subset.seen(now, all, well, last));
         self.balancer.shared_by(subset.sharers());
         if !list.is_empty() {
-            let part = self.telling.listed(ListKind::Aside, list, last);
+            let part = self.update_queue.listed(ListKind::Aside, list, last);
             self.tell_part(part.kind, &part.members);
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,7 @@
 mod subsetting;
 mod tasks;
 #[doc(hidden)]
-pub mod telling;
+pub mod update_queue;
 mod upstreams;
 
 pub use config::{Config, ConfigError};
--- a/crates/gateway/src/telling.rs
+++ b/crates/gateway/src/update_queue.rs
@@ -18,7 +18,7 @@
 /// Of those that it has been told of only a fingerprint is kept. A copy of each member would be a third of all that the
 /// gateway holds of an upstream.
 #[derive(Default)]
-pub struct Telling {
+pub struct UpdateQueue {
     latest: FxHashMap<ServerId, Fingerprint>,
     /// The order in which it is told of those that wait. A place whose upstream waits no more is passed over.
     due: VecDeque<ServerId>,
@@ -69,7 +69,7 @@
     pub members: Vec<Member>,
 }
 
-impl Telling {
+impl UpdateQueue {
     /// Takes in a list; what the module is to be told now. More may be due. `last` finds whom a whole list left out, as
     /// listed before.
     pub fn listed(
--- a/crates/gateway/src/telling/tests.rs
+++ b/crates/gateway/src/update_queue/tests.rs
@@ -10,7 +10,7 @@
 }
 
 /// All that is told of a list, part by part, into what the module has.
-fn told(of: &mut Telling, has: &mut FxHashMap<ServerId, Member>, part: Part) -> usize {
+fn told(of: &mut UpdateQueue, has: &mut FxHashMap<ServerId, Member>, part: Part) -> usize {
     let mut parts = 1;
     let mut tell = |kind: ListKind, members: Vec<Member>| {
         if !kind.is_part() {
@@ -31,7 +31,7 @@
 
 #[test]
 fn a_long_list_is_told_in_parts_and_comes_to_the_same() {
-    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let (mut of, mut has) = (UpdateQueue::default(), FxHashMap::default());
     let part = of.listed(ListKind::Restored, all(10_000), nobody);
     assert_eq!(told(&mut of, &mut has, part), 1, "nobody waits at the start");
     // The same again changes nothing, and is still a word of the watch.
@@ -48,7 +48,7 @@
 
 #[test]
 fn whom_nothing_may_be_sent_to_goes_first() {
-    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let (mut of, mut has) = (UpdateQueue::default(), FxHashMap::default());
     let part = of.listed(ListKind::Restored, all(1000), nobody);
     told(&mut of, &mut has, part);
     let mut list = all(1000);
@@ -62,7 +62,7 @@
 #[test]
 fn one_that_waits_as_live_and_is_drained_then_goes_first_and_once() {
     // Failure: it kept its place behind all that had started anew.
-    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let (mut of, mut has) = (UpdateQueue::default(), FxHashMap::default());
     let part = of.listed(ListKind::Restored, all(1000), nobody);
     told(&mut of, &mut has, part);
     let mut list = all(1000);
@@ -80,7 +80,7 @@
 
 #[test]
 fn a_newer_word_is_not_undone_by_what_was_due_before_it() {
-    let (mut of, mut has) = (Telling::default(), FxHashMap::default());
+    let (mut of, mut has) = (UpdateQueue::default(), FxHashMap::default());
     let part = of.listed(ListKind::Restored, all(1000), nobody);
     told(&mut of, &mut has, part);
     let drained = |m: Member| Member { status: Status::Draining, ..m };
@@ -97,7 +97,7 @@
 
 #[test]
 fn a_short_list_goes_over_as_it_is() {
-    let mut of = Telling::default();
+    let mut of = UpdateQueue::default();
     for kind in [ListKind::Restored, ListKind::Whole, ListKind::Update, ListKind::Aside] {
         let part = of.listed(kind, all(200), nobody);
         assert_eq!(part, Part { kind, members: all(200) });
@@ -107,7 +107,7 @@
 
 #[test]
 fn those_that_a_whole_list_leaves_out_are_gone_as_they_were_last() {
-    let mut of = Telling::default();
+    let mut of = UpdateQueue::default();
     let last = |id| Some(Member { zone: 3, cell: 7, ..Member::live(id) });
     let members: Vec<Member> = (0..1000).map(ServerId).filter_map(last).collect();
     of.listed(ListKind::Restored, members.clone(), last);
--- a/crates/gateway/tests/list_memory.rs
+++ b/crates/gateway/tests/list_memory.rs
@@ -12,7 +12,7 @@
 use hollowpaddle_gateway::objects::{
     MAX_ENTRIES, MAX_ENTRY_LENGTH, MAX_ID_BYTES, MAX_OUTLINE_LENGTH, Objects, PIECE_LENGTH,
 };
-use hollowpaddle_gateway::telling::Telling;
+use hollowpaddle_gateway::update_queue::UpdateQueue;
 use hollowpaddle_policy::interface::ListKind;
 use serde_json::json;
 
@@ -97,7 +97,7 @@
 /// What holds the list in a running balancer, up to the decision module.
 struct Holders {
     membership: Membership,
-    telling: Telling,
+    update_queue: UpdateQueue,
 }
 
 impl Holders {
@@ -105,10 +105,10 @@
         let begun = Instant::now();
         let told = self.membership.update(list, ListKind::Whole, tokio::time::Instant::now());
         let last = |id| self.membership.member(id);
-        let mut part = self.telling.listed(told.kind, told.members, last).members.len();
+        let mut part = self.update_queue.listed(told.kind, told.members, last).members.len();
         let longest = begun.elapsed();
-        while self.telling.is_due() {
-            part += self.telling.next_part().len();
+        while self.update_queue.is_due() {
+            part += self.update_queue.next_part().len();
         }
         assert!(part <= list.members.len());
         self.membership.forget();
@@ -132,7 +132,7 @@
             let now = tokio::time::Instant::now();
             let told = self.membership.update(&list, ListKind::Update, now);
             let last = |id| self.membership.member(id);
-            let part = self.telling.listed(told.kind, told.members, last);
+            let part = self.update_queue.listed(told.kind, told.members, last);
             assert!(self.membership.any_open() && self.membership.forget().is_empty());
             times.push(begun.elapsed());
             assert_eq!(part.members.len(), CHANGED);
@@ -148,7 +148,7 @@
     let before = ALLOCATED.load(Ordering::Relaxed);
     PEAK.store(before, Ordering::Relaxed);
     let membership = Membership::new(config, Duration::from_millis(400));
-    let mut holders = Holders { membership, telling: Telling::default() };
+    let mut holders = Holders { membership, update_queue: UpdateQueue::default() };
     let mut steps = Vec::new();
     for text in [&first, &second] {
         let (list, piece) = read(text);
