Rename Objects to ListReader

It reads lists of upstreams and no other objects. ObjectError becomes ListError and the module list_reader. Nothing but names changes; the tests of the package and of the node's watches pass.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -14,8 +14,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
 
+use crate::list_reader::{ListError, ListReader, PIECE_LENGTH};
 use crate::members::List;
-use crate::objects::{ObjectError, Objects, PIECE_LENGTH};
 use crate::tasks::AbortOnDrop;
 
 /// Without a word for so long a watch or a call is dead, though nothing told so (a machine that is cut off sends no
@@ -43,7 +43,7 @@
     #[error("silent for too long")]
     Silent(#[from] tokio::time::error::Elapsed),
     #[error("{0}")]
-    Malformed(#[from] ObjectError),
+    Malformed(#[from] ListError),
     #[error("ended")]
     Ended,
     #[error("request: {0}")]
@@ -73,7 +73,7 @@
     // Connecting and waiting for the answer share one time: they would not fit in one after the other.
     let call = timeout(SILENCE, call(network, address, revision)).await;
     let (mut body, _connection) = call??;
-    let (mut objects, mut told, mut silent) = (Objects::default(), false, false);
+    let (mut reader, mut told, mut silent) = (ListReader::default(), false, false);
     loop {
         let frame = if silent {
             body.frame().await
@@ -97,7 +97,7 @@
             if i > 0 {
                 tokio::task::yield_now().await;
             }
-            objects.take(piece, |list| {
+            reader.take(piece, |list| {
                 told = true;
                 tell(News::List(list));
             })?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,12 +15,12 @@
 mod flow;
 mod http;
 mod kept;
+#[doc(hidden)]
+pub mod list_reader;
 pub mod members;
 #[doc(hidden)] // for the measurements in `tests/list_memory.rs`
 pub mod membership;
 mod names;
-#[doc(hidden)]
-pub mod objects;
 mod operators;
 mod relay;
 mod relisted;
--- a/crates/gateway/src/objects.rs
+++ b/crates/gateway/src/list_reader.rs
@@ -19,7 +19,7 @@
 /// Bytes of a list outside of its entries, counted in the same way. They hold a version and a flag; the rest is room for
 /// keys that this build does not know. Without a bound a list that never ends takes all memory.
 pub const MAX_OUTLINE_LENGTH: usize = 256 << 10;
-/// Objects and arrays within each other, the list itself included: what `serde_json` reads.
+/// ListReader and arrays within each other, the list itself included: what `serde_json` reads.
 pub const MAX_DEPTH: usize = 127;
 /// Entries kept of one list: two and a half times the 39,000 upstreams that the largest deployment in sight has.
 /// Without a bound a list that never ends takes all memory.
@@ -33,7 +33,7 @@
 
 /// Why there are no more lists in a stream.
 #[derive(Debug, thiserror::Error)]
-pub enum ObjectError {
+pub enum ListError {
     /// Text that is no list.
     #[error("text that is no list: {0}")]
     Malformed(#[from] serde_json::Error),
@@ -56,7 +56,7 @@
 
 /// Reads lists from a stream. Each byte is looked at once, however small the pieces.
 #[derive(Default)]
-pub struct Objects {
+pub struct ListReader {
     place: Place,
     /// The list without its entries.
     outline: Text,
@@ -111,12 +111,12 @@
     _members: Vec<IgnoredAny>,
 }
 
-impl Objects {
+impl ListReader {
     /// Takes in the next piece, and hands over each list that is whole with it, in order.
     ///
     /// # Errors
     /// Text that is no list, or one beyond a bound. Nothing more can be read from this stream then.
-    pub fn take(&mut self, piece: &[u8], mut tell: impl FnMut(List)) -> Result<(), ObjectError> {
+    pub fn take(&mut self, piece: &[u8], mut tell: impl FnMut(List)) -> Result<(), ListError> {
         for byte in piece {
             if let Some(list) = self.push(*byte)? {
                 tell(list);
@@ -125,7 +125,7 @@
         Ok(())
     }
 
-    fn push(&mut self, byte: u8) -> Result<Option<List>, ObjectError> {
+    fn push(&mut self, byte: u8) -> Result<Option<List>, ListError> {
         match self.place {
             Place::Outline => self.push_to_outline(byte),
             Place::Members(expected) => self.push_between_entries(byte, expected).map(|()| None),
@@ -133,7 +133,7 @@
         }
     }
 
-    fn push_to_outline(&mut self, byte: u8) -> Result<Option<List>, ObjectError> {
+    fn push_to_outline(&mut self, byte: u8) -> Result<Option<List>, ListError> {
         let begins_members = self.follow_keys(byte);
         let was_in_string = self.outline.is_in_string();
         self.outline.push(byte);
@@ -141,10 +141,10 @@
             self.end_of_string();
         }
         if self.outline.len() > MAX_OUTLINE_LENGTH {
-            return Err(ObjectError::OutlineTooLong);
+            return Err(ListError::OutlineTooLong);
         }
         if self.outline.depth() > MAX_DEPTH {
-            return Err(ObjectError::TooDeep);
+            return Err(ListError::TooDeep);
         }
         if begins_members {
             // Of a key that occurs twice the last one counts.
@@ -184,7 +184,7 @@
         self.expects_members = key.is_ok_and(|key| key == "members");
     }
 
-    fn push_between_entries(&mut self, byte: u8, expected: Expected) -> Result<(), ObjectError> {
+    fn push_between_entries(&mut self, byte: u8, expected: Expected) -> Result<(), ListError> {
         match byte {
             byte if byte.is_ascii_whitespace() => {}
             b',' if expected == Expected::CommaOrEnd => {
@@ -208,7 +208,7 @@
         Ok(())
     }
 
-    fn push_to_entry(&mut self, byte: u8) -> Result<(), ObjectError> {
+    fn push_to_entry(&mut self, byte: u8) -> Result<(), ListError> {
         // A number or a word has no end of its own.
         if self.entry.is_scalar() && (byte.is_ascii_whitespace() || matches!(byte, b',' | b']')) {
             self.end_of_entry()?;
@@ -216,10 +216,10 @@
         }
         self.entry.push(byte);
         if self.entry.len() > MAX_ENTRY_LENGTH {
-            return Err(ObjectError::EntryTooLong);
+            return Err(ListError::EntryTooLong);
         }
         if self.outline.depth() + self.entry.depth() > MAX_DEPTH {
-            return Err(ObjectError::TooDeep);
+            return Err(ListError::TooDeep);
         }
         if self.entry.is_whole() && !self.entry.is_scalar() {
             self.end_of_entry()?;
@@ -227,7 +227,7 @@
         Ok(())
     }
 
-    fn end_of_entry(&mut self) -> Result<(), ObjectError> {
+    fn end_of_entry(&mut self) -> Result<(), ListError> {
         let entry = Entry::from_json(self.entry.bytes(), &mut self.kept.names)?;
         self.entry.clear();
         self.place = Place::Members(Expected::CommaOrEnd);
@@ -237,7 +237,7 @@
         }
     }
 
-    fn end_of_list(&mut self) -> Result<List, ObjectError> {
+    fn end_of_list(&mut self) -> Result<List, ListError> {
         let outline: Value = serde_json::from_slice(self.outline.bytes())?;
         if !outline.is_object() {
             return Err(malformed("expected an object"));
@@ -254,21 +254,21 @@
         *self = Self::default();
     }
 
-    fn push(&mut self, entry: Entry) -> Result<(), ObjectError> {
+    fn push(&mut self, entry: Entry) -> Result<(), ListError> {
         if self.entries.len() == MAX_ENTRIES {
-            return Err(ObjectError::TooManyEntries);
+            return Err(ListError::TooManyEntries);
         }
         self.id_bytes += entry.id.len();
         if self.id_bytes > MAX_ID_BYTES {
-            return Err(ObjectError::IdsTooLong);
+            return Err(ListError::IdsTooLong);
         }
         self.entries.push(entry);
         Ok(())
     }
 }
 
-fn malformed(expected: &str) -> ObjectError {
-    ObjectError::Malformed(serde_json::Error::custom(expected))
+fn malformed(expected: &str) -> ListError {
+    ListError::Malformed(serde_json::Error::custom(expected))
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/objects/tests.rs
+++ b/crates/gateway/src/list_reader/tests.rs
@@ -3,10 +3,10 @@
 use super::*;
 
 /// What comes out of these pieces.
-fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Result<Vec<List>, ObjectError> {
-    let (mut objects, mut read) = (Objects::default(), Vec::new());
+fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Result<Vec<List>, ListError> {
+    let (mut reader, mut read) = (ListReader::default(), Vec::new());
     for piece in pieces {
-        objects.take(piece, |list| read.push(list))?;
+        reader.take(piece, |list| read.push(list))?;
     }
     Ok(read)
 }
@@ -81,7 +81,7 @@
         "{\"members\": []",
     ];
     for text in &texts[..texts.len() - 1] {
-        assert!(matches!(read([text.as_bytes()]), Err(ObjectError::Malformed(_))), "{text:?}");
+        assert!(matches!(read([text.as_bytes()]), Err(ListError::Malformed(_))), "{text:?}");
     }
     // Only broken off.
     assert_eq!(read([texts[texts.len() - 1].as_bytes()]).expect("nothing yet"), []);
@@ -138,7 +138,7 @@
     let lists = read([of_length(MAX_ENTRY_LENGTH).as_bytes()]).expect("within the bound");
     assert_eq!(lists[0].members.len(), 1);
     let error = read([of_length(MAX_ENTRY_LENGTH + 1).as_bytes()]).expect_err("beyond it");
-    assert!(matches!(error, ObjectError::EntryTooLong));
+    assert!(matches!(error, ListError::EntryTooLong));
     assert!(error.to_string().contains("65536"), "{error}");
 }
 
@@ -153,7 +153,7 @@
     let lists = read([of_length(MAX_OUTLINE_LENGTH).as_bytes()]).expect("within the bound");
     assert_eq!(lists[0].members.len(), 2);
     let error = read([of_length(MAX_OUTLINE_LENGTH + 1).as_bytes()]).expect_err("beyond it");
-    assert!(matches!(error, ObjectError::OutlineTooLong));
+    assert!(matches!(error, ListError::OutlineTooLong));
 }
 
 #[test]
@@ -167,7 +167,7 @@
     assert_eq!(read([around(MAX_DEPTH).as_bytes()]).expect("a list").len(), 1);
     assert_eq!(read([within(MAX_DEPTH).as_bytes()]).expect("a list")[0].members.len(), 1);
     for text in [around(MAX_DEPTH + 1), within(MAX_DEPTH + 1)] {
-        assert!(matches!(read([text.as_bytes()]), Err(ObjectError::TooDeep)));
+        assert!(matches!(read([text.as_bytes()]), Err(ListError::TooDeep)));
     }
 }
 
@@ -182,7 +182,7 @@
     let lists = read([of_count(MAX_ENTRIES).as_bytes()]).expect("within the bound");
     assert_eq!(lists[0].members.len(), MAX_ENTRIES);
     let error = read([of_count(MAX_ENTRIES + 1).as_bytes()]).expect_err("beyond it");
-    assert!(matches!(error, ObjectError::TooManyEntries));
+    assert!(matches!(error, ListError::TooManyEntries));
     assert!(error.to_string().contains("100000"), "{error}");
 }
 
@@ -197,7 +197,7 @@
     };
     assert!(read([of_bytes(MAX_ID_BYTES).as_bytes()]).is_ok());
     let error = read([of_bytes(MAX_ID_BYTES + 1).as_bytes()]).expect_err("beyond the bound");
-    assert!(matches!(error, ObjectError::IdsTooLong));
+    assert!(matches!(error, ListError::IdsTooLong));
 }
 
 #[test]
@@ -205,24 +205,24 @@
     let begun =
         ["{\"a\": \"", "{\"members\": [\"", "{\"members\": [{\"id\": \"", "{\"members\": [7"];
     for begin in begun {
-        let (mut objects, mut bytes) = (Objects::default(), 0);
-        let mut take = |piece: &[u8]| objects.take(piece, |_| panic!("a list"));
+        let (mut reader, mut bytes) = (ListReader::default(), 0);
+        let mut take = |piece: &[u8]| reader.take(piece, |_| panic!("a list"));
         take(begin.as_bytes()).expect("it begins");
         let piece = [b'1'; 1 << 10];
         while take(&piece).is_ok() {
             bytes += piece.len();
             assert!(bytes <= MAX_OUTLINE_LENGTH, "no bound");
         }
-        assert!(objects.outline.len() <= MAX_OUTLINE_LENGTH + 1);
-        assert!(objects.entry.len() <= MAX_ENTRY_LENGTH + 1);
+        assert!(reader.outline.len() <= MAX_OUTLINE_LENGTH + 1);
+        assert!(reader.entry.len() <= MAX_ENTRY_LENGTH + 1);
     }
     // White space is no growth, nor are heartbeats.
     for begin in ["", "{", "{\"members\": [", "{\"members\": [{"] {
-        let mut objects = Objects::default();
-        objects.take(begin.as_bytes(), |_| panic!("a list")).expect("it begins");
+        let mut reader = ListReader::default();
+        reader.take(begin.as_bytes(), |_| panic!("a list")).expect("it begins");
         for _ in 0..100 {
-            objects.take(&[b' '; 1 << 16], |_| panic!("a list")).expect("heartbeats");
+            reader.take(&[b' '; 1 << 16], |_| panic!("a list")).expect("heartbeats");
         }
-        assert!(objects.outline.len() + objects.entry.len() <= begin.len() + 2);
+        assert!(reader.outline.len() + reader.entry.len() <= begin.len() + 2);
     }
 }
--- a/crates/gateway/src/objects/text.rs
+++ b/crates/gateway/src/list_reader/text.rs
@@ -4,7 +4,7 @@
 #[derive(Default)]
 pub(super) struct Text {
     bytes: Vec<u8>,
-    /// Objects and arrays that are open.
+    /// ListReader and arrays that are open.
     depth: usize,
     in_string: bool,
     escaped: bool,
@@ -51,7 +51,7 @@
         self.in_string
     }
 
-    /// Objects and arrays that are open.
+    /// ListReader and arrays that are open.
     pub(super) fn depth(&self) -> usize {
         self.depth
     }
--- a/crates/gateway/tests/list_memory.rs
+++ b/crates/gateway/tests/list_memory.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use hollowpaddle_gateway::Config;
+use hollowpaddle_gateway::list_reader::{
+    ListReader, MAX_ENTRIES, MAX_ENTRY_LENGTH, MAX_ID_BYTES, MAX_OUTLINE_LENGTH, PIECE_LENGTH,
+};
 use hollowpaddle_gateway::members::{Entry, List, Phase};
 use hollowpaddle_gateway::membership::Membership;
-use hollowpaddle_gateway::objects::{
-    MAX_ENTRIES, MAX_ENTRY_LENGTH, MAX_ID_BYTES, MAX_OUTLINE_LENGTH, Objects, PIECE_LENGTH,
-};
 use hollowpaddle_gateway::update_queue::UpdateQueue;
 use hollowpaddle_policy::interface::ListKind;
 use serde_json::json;
@@ -85,10 +85,10 @@
 
 /// Reads a list piece by piece; the list, and the longest time for one piece.
 fn read(text: &str) -> (List, Duration) {
-    let (mut objects, mut lists, mut longest) = (Objects::default(), Vec::new(), Duration::ZERO);
+    let (mut reader, mut lists, mut longest) = (ListReader::default(), Vec::new(), Duration::ZERO);
     for piece in text.as_bytes().chunks(PIECE_LENGTH) {
         let begun = Instant::now();
-        objects.take(piece, |list| lists.push(list)).expect("a list");
+        reader.take(piece, |list| lists.push(list)).expect("a list");
         longest = longest.max(begun.elapsed());
     }
     (lists.pop().expect("a whole list"), longest)
@@ -201,12 +201,12 @@
     for (begin, text, is_given_up) in repeated {
         let before = ALLOCATED.load(Ordering::Relaxed);
         PEAK.store(before, Ordering::Relaxed);
-        let mut objects = Objects::default();
-        objects.take(begin.as_bytes(), |_| ()).expect("it begins");
+        let mut reader = ListReader::default();
+        reader.take(begin.as_bytes(), |_| ()).expect("it begins");
         let times = 2 * MAX_BYTES_OF_READING / text.len().max(100);
         let taken = (0..times).take_while(|i| {
             let text = text.replace('#', &i.to_string());
-            objects.take(text.as_bytes(), |_| ()).is_ok()
+            reader.take(text.as_bytes(), |_| ()).is_ok()
         });
         let taken = taken.count();
         let peak = PEAK.load(Ordering::Relaxed) - before;
--- a/crates/gateway/tests/list_reading.rs
+++ b/crates/gateway/tests/list_reading.rs
@@ -2,19 +2,19 @@
 
 use std::fmt::Write;
 
+use hollowpaddle_gateway::list_reader::{ListError, ListReader};
 use hollowpaddle_gateway::members::List;
-use hollowpaddle_gateway::objects::{ObjectError, Objects};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
 /// What comes out of `text` in pieces of these lengths, in turn.
-fn read(text: &[u8], lengths: &[usize]) -> Result<Vec<List>, ObjectError> {
-    let (mut objects, mut lists) = (Objects::default(), Vec::new());
+fn read(text: &[u8], lengths: &[usize]) -> Result<Vec<List>, ListError> {
+    let (mut reader, mut lists) = (ListReader::default(), Vec::new());
     let (mut rest, mut lengths) = (text, lengths.iter().cycle());
     while !rest.is_empty() {
         let length = lengths.next().copied().unwrap_or(1).clamp(1, rest.len());
-        objects.take(&rest[..length], |list| lists.push(list))?;
+        reader.take(&rest[..length], |list| lists.push(list))?;
         rest = &rest[length..];
     }
     Ok(lists)
@@ -165,7 +165,7 @@
         let text = write(&fields, &layout);
         match (whole(&text), read(text.as_bytes(), &lengths)) {
             (Some(expected), Ok(lists)) => prop_assert_eq!(lists, vec![expected]),
-            (None, Err(ObjectError::Malformed(_))) => {}
+            (None, Err(ListError::Malformed(_))) => {}
             (expected, read) => prop_assert!(false, "{text}: {expected:?}, but {read:?}"),
         }
     }
--- a/tests/node/watches.rs
+++ b/tests/node/watches.rs
@@ -180,7 +180,7 @@
     let mut client = node.client();
     served_by(&mut client, "a");
     let (_, mut watch) = node.discovery.watch();
-    let too_many = hollowpaddle_gateway::objects::MAX_ENTRIES + 1;
+    let too_many = hollowpaddle_gateway::list_reader::MAX_ENTRIES + 1;
     let entry = json!({"id": "s", "phase": "DELETED"}).to_string();
     // The watch is closed within it.
     let text = format!("{{\"revision\":42,\"complete\":true,\"members\":[{entry}");
