--- a/crates/gateway/src/membership/tests.rs
+++ b/crates/gateway/src/membership/tests.rs
@@ -255,3 +255,52 @@
     of.forget();
     assert!(of.target(id).is_none() && of.ids.is_empty());
 }
+
+#[test]
+fn without_a_valid_address_a_drain_counts_and_a_newcomer_does_not_come_in() {
+    let mut of = membership();
+    told(&mut of, &list(1, &[("a", "SERVING"), ("b", "SERVING")]), ListKind::Whole);
+    let at = of.targets[&of.ids["a"]].target.address.get();
+    let entry = |id, phase, address| json!({"id": id, "host_port": address, "phase": phase});
+    let members = [
+        entry("a", "DRAINING", "nowhere"),
+        entry("b", "DELETED", ""),
+        entry("c", "SERVING", ""),
+        json!({"id": "d", "phase": "DELETED"}),
+    ];
+    let bare = serde_json::from_value(json!({"revision": 2, "members": members})).expect("a list");
+    assert_eq!(told(&mut of, &bare, ListKind::Update), (ListKind::Update, 2, "".into()));
+    assert_eq!(of.targets[&of.ids["a"]].target.address.get(), at, "the last one stands");
+    assert!(!of.has_named("c") && of.has_named("d"));
+    let back = list(3, &[("a", "SERVING"), ("c", "SERVING")]);
+    assert_eq!(told(&mut of, &back, ListKind::Update).2, "a c");
+}
+
+#[test]
+fn whether_any_upstream_is_open_agrees_with_all_closing_times() {
+    let mut of = membership();
+    of.overlay.classes = vec!["alarm".into()];
+    let is_open = |known: &Known| known.target.closed_from.get().is_none();
+    let agrees = |of: &Membership| of.any_open() == of.targets.values().any(|k| is_open(k));
+    assert!(!of.any_open());
+    let now = Instant::now();
+    let both = |revision| list(revision, &[("a", "SERVING"), ("b", "DRAINING")]);
+    of.update(&both(1), ListKind::Whole, now);
+    assert!(of.any_open() && agrees(&of));
+    let a: BTreeSet<String> = ["a".to_string()].into();
+    of.cordon(&a, now);
+    assert!(!of.any_open() && agrees(&of));
+    // Closed twice and opened once.
+    of.update(&both(2), ListKind::Whole, now);
+    of.rule(rules(json!({"out": {"upstreams": ["a"]}}), &[]), now);
+    assert!(!of.any_open() && agrees(&of));
+    of.cordon(&BTreeSet::new(), now);
+    of.rule(rules(json!({}), &[]), now);
+    assert!(of.any_open() && agrees(&of));
+    of.update(&list(3, &[]), ListKind::Whole, now);
+    assert!(!of.any_open() && agrees(&of));
+    of.forget();
+    assert!(!of.any_open() && of.targets.is_empty() && of.gone.is_empty());
+    of.update(&both(4), ListKind::Whole, now);
+    assert!(of.any_open() && agrees(&of));
+}
