--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -28,7 +28,7 @@
 use crate::members::{List, Phase};
 use crate::membership::{Membership, Part};
 use crate::relay::AnswerBody;
-use crate::relisted::Relisted;
+use crate::restored_list::RestoredList;
 use crate::stream::Cancellation;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
@@ -382,7 +382,7 @@
 impl Engine {
     pub fn new(
         config: &Config,
-        relisted: Option<Relisted>,
+        restored_list: Option<RestoredList>,
         pool: Rc<Pool>,
         network: Rc<dyn Network>,
         bank: Option<Rc<dyn Rulebook>>,
@@ -435,8 +435,8 @@
             asked_list: None,
         };
         engine.listed(&config.known, ListKind::Restored);
-        if let Some(relisted) = relisted {
-            engine.relisted(relisted);
+        if let Some(restored_list) = restored_list {
+            engine.lay_over(restored_list);
         }
         engine.keep_to_rules();
         if !must_ask {
@@ -750,8 +750,8 @@
 
     /// Lays over the configuration's list what was heard after it. Discovery is asked for all that it has: of changes
     /// alone, one that counts anew would leave what this took out where it is.
-    fn relisted(&mut self, relisted: Relisted) {
-        let Relisted { list, whole } = relisted;
+    fn lay_over(&mut self, restored_list: RestoredList) {
+        let RestoredList { list, whole } = restored_list;
         tracing::info!(members = list.members.len(), whole, "goes on from the list as last heard");
         let told = self.upstreams.update(
             &list,
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -15,7 +15,7 @@
 
 use crate::engine::Door;
 use crate::members::List;
-use crate::relisted::{Relisted, relisted};
+use crate::restored_list::{RestoredList, restored_list};
 
 /// How often what was learned is saved. A kill costs the news of so long.
 const EVERY: Duration = Duration::from_secs(2);
@@ -127,7 +127,12 @@
     /// Reads what lies there, as far as it is to be believed at `now` (Unix time) under settings of this
     /// [meaning](hollowpaddle_policy::settings::Facts::meaning), and notes this start. Beside it what counts of the list
     /// as last heard, over the one that the configuration names.
-    pub fn read(kept: Kept, now: Duration, known: &List, meaning: u64) -> (Self, Option<Relisted>) {
+    pub fn read(
+        kept: Kept,
+        now: Duration,
+        known: &List,
+        meaning: u64,
+    ) -> (Self, Option<RestoredList>) {
         let Kept { keep, found } = kept;
         let mut set_aside = Vec::new();
         for aside in &found.aside {
@@ -159,7 +164,7 @@
             (state.learned, state.learned_ms, state.list) = (None, 0, None);
         }
         let heard = now.saturating_sub(Duration::from_millis(state.list_ms));
-        let list = state.list.as_ref().and_then(|list| relisted(list, known, heard, now));
+        let list = state.list.as_ref().and_then(|list| restored_list(list, known, heard, now));
         let list_age_s = list.is_some().then_some(heard.as_secs_f64());
         if list.is_none() {
             state.list = None;
--- a/crates/gateway/src/kept/tests.rs
+++ b/crates/gateway/src/kept/tests.rs
@@ -22,7 +22,7 @@
 }
 
 /// A start whose settings mean `now`, on what a process has saved a second ago whose settings meant `then`.
-fn start(then: Option<u64>, now: u64) -> (Recovered, Option<Relisted>) {
+fn start(then: Option<u64>, now: u64) -> (Recovered, Option<RestoredList>) {
     let settings = Settings::basic(vec![Class::safe(Span(1000), Span(2000))]);
     let learned = Balancer::new(settings, 1, Time(0)).expect("settings").learned();
     let at = (NOW - Duration::from_secs(1)).as_millis() as u64;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 mod names;
 mod operators;
 mod relay;
-mod relisted;
+mod restored_list;
 mod serve;
 mod stream;
 mod subsetting;
--- a/crates/gateway/src/relisted.rs
+++ b/crates/gateway/src/restored_list.rs
@@ -10,7 +10,7 @@
 
 /// A stored list as far as it counts.
 #[derive(Debug)]
-pub struct Relisted {
+pub struct RestoredList {
     /// With the version of the list that it is laid over: discovery, asked for all that it has, speaks after it.
     pub list: List,
     /// Whom it leaves out is gone.
@@ -19,7 +19,12 @@
 
 /// What counts of a list that was last heard `age` ago, over the one that the configuration names; nothing, where that
 /// is as new or too little is left to believe. `now` is Unix time.
-pub fn relisted(stored: &List, known: &List, age: Duration, now: Duration) -> Option<Relisted> {
+pub fn restored_list(
+    stored: &List,
+    known: &List,
+    age: Duration,
+    now: Duration,
+) -> Option<RestoredList> {
     if stored.revision <= known.revision && !known.members.is_empty() {
         return None;
     }
@@ -35,7 +40,7 @@
             entry.up_since_ms = now.as_secs_f64() * 1e3;
         }
     }
-    Some(Relisted { list, whole })
+    Some(RestoredList { list, whole })
 }
 
 #[cfg(test)]
@@ -53,7 +58,7 @@
         serde_json::from_value(json!({"revision": revision, "members": members})).expect("a list")
     }
 
-    fn since(of: &Relisted) -> Vec<f64> {
+    fn since(of: &RestoredList) -> Vec<f64> {
         of.list.members.iter().map(|m| m.up_since_ms).collect()
     }
 
@@ -62,17 +67,17 @@
         let known = list(5, &[("a", "SERVING")]);
         for (revision, counts) in [(4, false), (5, false), (6, true)] {
             let stored = list(revision, &[("a", "DRAINING")]);
-            assert_eq!(relisted(&stored, &known, MINUTE, NOW).is_some(), counts, "{revision}");
+            assert_eq!(restored_list(&stored, &known, MINUTE, NOW).is_some(), counts, "{revision}");
         }
         let stored = list(0, &[("a", "SERVING")]);
-        assert!(relisted(&stored, &List::default(), MINUTE, NOW).is_some(), "the only one");
+        assert!(restored_list(&stored, &List::default(), MINUTE, NOW).is_some(), "the only one");
     }
 
     #[test]
     fn a_young_one_counts_as_it_is_and_speaks_with_the_version_of_the_other() {
         let (stored, known) =
             (list(9, &[("a", "DRAINING"), ("b", "SERVING")]), list(5, &[("c", "SERVING")]));
-        let young = relisted(&stored, &known, 10 * MINUTE, NOW).expect("it counts");
+        let young = restored_list(&stored, &known, 10 * MINUTE, NOW).expect("it counts");
         assert!(young.whole && young.list.revision == 5, "{young:?}");
         assert_eq!(since(&young), [7.0, 7.0]);
     }
@@ -81,9 +86,9 @@
     fn an_old_one_takes_out_and_has_newcomers_tried() {
         let stored = list(9, &[("a", "DRAINING"), ("b", "SERVING"), ("c", "SERVING")]);
         let known = list(5, &[("a", "SERVING"), ("c", "SERVING"), ("d", "SERVING")]);
-        let old = relisted(&stored, &known, 11 * MINUTE, NOW).expect("it counts");
+        let old = restored_list(&stored, &known, 11 * MINUTE, NOW).expect("it counts");
         assert!(!old.whole);
         assert_eq!(since(&old), [7.0, 1e9, 7.0], "only `b` is tried");
-        assert!(relisted(&stored, &known, 31 * 24 * 60 * MINUTE, NOW).is_none());
+        assert!(restored_list(&stored, &known, 31 * 24 * 60 * MINUTE, NOW).is_none());
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -126,12 +126,13 @@
     let started = network.unix_now();
     let meaning = config.facts.meaning();
     let recovered = kept.map(|kept| Recovered::read(kept, started, &config.known, meaning));
-    let (recovered, relisted) = recovered.map_or((None, None), |(all, list)| (Some(all), list));
+    let (recovered, restored_list) =
+        recovered.map_or((None, None), |(all, list)| (Some(all), list));
     let banked =
         bank.as_ref().map(|link| Banked { calls: link.calls.clone(), classes: classes(&config) });
     let (reader, news) = bank.map_or((None, None), |link| (Some(link.reader), Some(link.news)));
     let reader = reader.map(|r| Rc::new(r) as Rc<dyn Rulebook>);
-    let (engine, handle) = Engine::new(&config, relisted, pool, network, reader)?;
+    let (engine, handle) = Engine::new(&config, restored_list, pool, network, reader)?;
     // The engine has its own records of it; the rest of the configuration stays for as long as this serves.
     config.known = List::default();
     let mut engine = AbortOnDrop(tokio::task::spawn_local(engine.run()));
