--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -92,7 +92,7 @@
 }
 
 /// What a list comes to.
-pub struct Told {
+pub struct ListChanges {
     /// What it is to the module.
     pub kind: ListKind,
     /// Who is on it, as far as it is news.
@@ -265,7 +265,7 @@
     /// older list takes back nothing that a newer one said: of an upstream, only news that is no older than
     /// the last of it counts, and none is gone by being left out. Failure: nor did anybody come in by it, so that
     /// a newcomer that it alone named stayed unknown until something else about it changed.
-    pub fn update(&mut self, list: &List, kind: ListKind, now: Instant) -> Told {
+    pub fn update(&mut self, list: &List, kind: ListKind, now: Instant) -> ListChanges {
         self.lists += 1;
         let older = list.revision < self.newest;
         self.newest = self.newest.max(list.revision);
@@ -283,18 +283,24 @@
         }
         let closed_from = now + self.grace;
         let members = Vec::with_capacity(list.members.len());
-        let mut told = Told { kind, members, moved: Vec::new() };
+        let mut changes = ListChanges { kind, members, moved: Vec::new() };
         for entry in &list.members {
-            self.take_entry(entry, list.revision, closed_from, &mut told);
+            self.take_entry(entry, list.revision, closed_from, &mut changes);
         }
         if !kind.is_part() {
             self.close_unnamed(closed_from);
         }
-        told
+        changes
     }
 
     /// Takes in one entry of a list of this version.
-    fn take_entry(&mut self, entry: &Entry, revision: u64, closed_from: Instant, told: &mut Told) {
+    fn take_entry(
+        &mut self,
+        entry: &Entry,
+        revision: u64,
+        closed_from: Instant,
+        changes: &mut ListChanges,
+    ) {
         let known = self.ids.get(&entry.id).and_then(|id| self.targets.get(id));
         if known.is_some_and(|k| revision < k.revision) {
             return;
@@ -322,7 +328,7 @@
         }
         let Some(known) = self.targets.get_mut(&id) else { return };
         if known.target.address.replace(address) != address {
-            told.moved.push(id);
+            changes.moved.push(id);
         }
         known.named_by = self.lists;
         known.revision = revision;
@@ -333,7 +339,7 @@
             d::Status::Live => self.open.open(&known.target),
             d::Status::Draining | d::Status::Gone => self.open.close(&known.target, closed_from),
         }
-        told.members.push(member);
+        changes.members.push(member);
     }
 
     /// Whom the last list, a whole one, left out is gone.
