Move the record of an upstream out of membership.rs

Nothing but places and visibility changes, and a link of the public documentation to a private item, which rustdoc refuses, is gone. The tests of the package pass.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -4,6 +4,7 @@
 mod departed;
 mod open_targets;
 mod overlay;
+mod record;
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -14,8 +15,7 @@
 use std::time::Duration;
 
 use hollowpaddle_policy::interface as d;
-use hollowpaddle_policy::interface::{ListKind, ServerId, Time};
-use hollowpaddle_policy::settings::stable_hash;
+use hollowpaddle_policy::interface::{ListKind, ServerId};
 use hollowpaddle_revision::rules::Place;
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::time::Instant;
@@ -29,9 +29,10 @@
 use open_targets::OpenTargets;
 pub use overlay::Placed;
 use overlay::{Overlay, Policy};
+use record::{Known, Listing};
 
 /// The upstreams that the list has named, by the module's handle. What a list costs goes by its entries, and what one
-/// upstream costs in memory by the record [`Known`]: names are shared with the list that brought them.
+/// upstream costs in memory by its record: names are shared with the list that brought them.
 pub struct Membership {
     ids: FxHashMap<Arc<str>, ServerId>,
     /// Boxed, since a hash table has room for up to twice its entries.
@@ -52,30 +53,6 @@
     lists: u64,
 }
 
-/// One upstream.
-struct Known {
-    name: Arc<str>,
-    target: Rc<Target>,
-    /// As last listed, whatever operators say.
-    listed: Listing,
-    /// Version of the list that the last word of it came with.
-    revision: u64,
-    /// The last list that named it, as counted by [`Membership::lists`].
-    named_by: u64,
-}
-
-/// What a list says of an upstream, without what follows from its name and handle.
-#[derive(Clone, Copy)]
-struct Listing {
-    weight: f64,
-    /// When it last started, in microseconds of Unix time, if not long ago.
-    started: Option<NonZeroI64>,
-    zone: u32,
-    machine_type: u32,
-    cell: u32,
-    status: d::Status,
-}
-
 /// So many handles are looked at for one part of the whole: the engine has others to serve in between.
 const PART: u32 = 512;
 
@@ -400,22 +377,5 @@
     }
 }
 
-impl Known {
-    /// As listed, in the module's terms.
-    fn member(&self, id: ServerId) -> d::Member {
-        d::Member {
-            id,
-            identity: stable_hash(&self.name),
-            zone: self.listed.zone,
-            kind: self.listed.machine_type,
-            cell: self.listed.cell,
-            status: self.listed.status,
-            weight: self.listed.weight,
-            started: self.listed.started.map(|us| Time(us.get())),
-            barred: 0,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/gateway/src/membership/record.rs
@@ -0,0 +1,52 @@
+//! What is kept of one upstream.
+
+use std::num::NonZeroI64;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use hollowpaddle_policy::interface as d;
+use hollowpaddle_policy::interface::{ServerId, Time};
+use hollowpaddle_policy::settings::stable_hash;
+
+use crate::upstreams::Target;
+
+/// One upstream.
+pub(super) struct Known {
+    pub(super) name: Arc<str>,
+    pub(super) target: Rc<Target>,
+    /// As last listed, whatever operators say.
+    pub(super) listed: Listing,
+    /// Version of the list that the last word of it came with.
+    pub(super) revision: u64,
+    /// The last list that named it, as counted by `Membership::lists`.
+    pub(super) named_by: u64,
+}
+
+/// What a list says of an upstream, without what follows from its name and handle.
+#[derive(Clone, Copy)]
+pub(super) struct Listing {
+    pub(super) weight: f64,
+    /// When it last started, in microseconds of Unix time, if not long ago.
+    pub(super) started: Option<NonZeroI64>,
+    pub(super) zone: u32,
+    pub(super) machine_type: u32,
+    pub(super) cell: u32,
+    pub(super) status: d::Status,
+}
+
+impl Known {
+    /// As listed, in the module's terms.
+    pub(super) fn member(&self, id: ServerId) -> d::Member {
+        d::Member {
+            id,
+            identity: stable_hash(&self.name),
+            zone: self.listed.zone,
+            kind: self.listed.machine_type,
+            cell: self.listed.cell,
+            status: self.listed.status,
+            weight: self.listed.weight,
+            started: self.listed.started.map(|us| Time(us.get())),
+            barred: 0,
+        }
+    }
+}
