Merge lists of upstreams that are read entry by entry into compact records

Joined by hand: the watch waits for a taken call as the crowded discovery asks, and by heartbeats again once the first byte of a list has come: 6 MB may take longer than a call may wait.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -15,8 +15,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::list_reader::{ListError, ListReader, PIECE_LENGTH};
 use crate::members::List;
-use crate::objects::{ObjectError, Objects};
 use crate::tasks::AbortOnDrop;
 
 /// A watch without a word for so long is dead, and so is a connection that has not come up, though nothing told so (a
@@ -89,7 +89,7 @@
     #[error("no answer in time")]
     Unanswered(#[from] tokio::time::error::Elapsed),
     #[error("{0}")]
-    Malformed(#[from] ObjectError),
+    Malformed(#[from] ListError),
     #[error("ended")]
     Ended,
     #[error("request: {0}")]
@@ -139,15 +139,18 @@
     let connect = timeout(SILENCE, network.connect(address)).await;
     let stream = connect.map_err(|_| WatchError::NoConnection)??;
     let (mut body, _connection) = timeout_at(answer_by, call(stream, address, revision)).await??;
-    let (mut objects, mut told, mut silent) = (Objects::default(), false, false);
+    let (mut reader, mut answer_begun, mut told, mut silent) =
+        (ListReader::default(), false, false, false);
     loop {
         let frame = if silent {
             body.frame().await
-        } else if !told {
+        } else if !answer_begun {
             timeout_at(answer_by, body.frame()).await?
         } else {
             match timeout(SILENCE, body.frame()).await {
                 Ok(frame) => frame,
+                // One that never told anything is of no use to anybody.
+                Err(elapsed) if !told => return Err(elapsed.into()),
                 Err(_) => {
                     tracing::info!(revision, "watch silent");
                     silent = true;
@@ -158,11 +161,17 @@
         };
         let frame = frame.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
-        // White space between objects is a heartbeat.
-        objects.take(&data, |list| {
-            told = true;
-            tell(News::List(list));
-        })?;
+        // White space between objects is a heartbeat. A long list may take longer to come than a call may wait.
+        answer_begun = answer_begun || !data.trim_ascii().is_empty();
+        for (i, piece) in data.chunks(PIECE_LENGTH).enumerate() {
+            if i > 0 {
+                tokio::task::yield_now().await;
+            }
+            reader.take(piece, |list| {
+                told = true;
+                tell(News::List(list));
+            })?;
+        }
     }
 }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -29,11 +29,11 @@
 use crate::members::{List, Phase};
 use crate::membership::{Membership, Part};
 use crate::relay::AnswerBody;
-use crate::relisted::Relisted;
+use crate::restored_list::RestoredList;
 use crate::stream::Cancellation;
 use crate::subsetting::Subsetting;
 use crate::tasks::AbortOnDrop;
-use crate::telling::Telling;
+use crate::update_queue::UpdateQueue;
 use crate::upstreams::{Ended, Forward, Limit, Pool};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
@@ -333,7 +333,7 @@
     upstreams: Membership,
     /// Where the module is to know a part of the fleet only.
     subset: Option<Subsetting>,
-    telling: Telling,
+    update_queue: UpdateQueue,
     ready: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
     discovery: SocketAddr,
@@ -389,7 +389,7 @@
 impl Engine {
     pub fn new(
         config: &Config,
-        relisted: Option<Relisted>,
+        restored_list: Option<RestoredList>,
         pool: Rc<Pool>,
         network: Rc<dyn Network>,
         bank: Option<Rc<dyn Rulebook>>,
@@ -425,7 +425,7 @@
             pool,
             upstreams: Membership::new(config, sends_end_after),
             subset,
-            telling: Telling::default(),
+            update_queue: UpdateQueue::default(),
             ready,
             heard,
             discovery: config.discovery,
@@ -446,8 +446,8 @@
             asked_list: None,
         };
         engine.listed(&config.known, ListKind::Restored, Instant::now());
-        if let Some(relisted) = relisted {
-            engine.relisted(relisted);
+        if let Some(restored_list) = restored_list {
+            engine.lay_over(restored_list);
         }
         engine.keep_to_rules();
         if !must_ask {
@@ -525,9 +525,9 @@
             }
             Note::Watched { serial, news } => self.heard(serial, news),
             Note::Moved(discovery) => self.moved(discovery),
-            Note::Part if !self.telling.is_due() => {}
+            Note::Part if !self.update_queue.is_due() => {}
             Note::Part => {
-                let list = self.telling.next();
+                let list = self.update_queue.next_part();
                 self.tell_part(ListKind::Aside, &list);
             }
             Note::Learned(reply) => drop(reply.send(self.balancer.learned())),
@@ -796,7 +796,7 @@
             Phase::Draining | Phase::Unknown => lists::Phase::Drains,
             Phase::Deleted => lists::Phase::Ended,
         };
-        let entries = list.members.iter().map(|m| (m.id.clone(), phase(m.phase))).collect();
+        let entries = list.members.iter().map(|m| (m.id.to_string(), phase(m.phase))).collect();
         bank.heard(Listed::List { version: list.revision, whole, entries });
     }
 
@@ -816,8 +816,8 @@
 
     /// Lays over the configuration's list what was heard after it. Discovery is asked for all that it has: of changes
     /// alone, one that counts anew would leave what this took out where it is.
-    fn relisted(&mut self, relisted: Relisted) {
-        let Relisted { list, whole } = relisted;
+    fn lay_over(&mut self, restored_list: RestoredList) {
+        let RestoredList { list, whole } = restored_list;
         tracing::info!(members = list.members.len(), whole, "goes on from the list as last heard");
         let told = self.upstreams.update(
             &list,
@@ -837,13 +837,15 @@
         let now = self.clock.now();
         let list = match &mut self.subset {
             Some(subset) => {
-                let list = subset.listed(now, kind, &members);
+                let last = |id| self.upstreams.member(id);
+                let list = subset.listed(now, kind, &members, last);
                 self.balancer.shared_by(subset.sharers());
                 list
             }
             None => members,
         };
-        let part = self.telling.listed(kind, list);
+        let last = |id| self.upstreams.member(id);
+        let part = self.update_queue.listed(kind, list, last);
         self.tell_part(part.kind, &part.members);
     }
 
@@ -867,7 +869,7 @@
 
     /// Tells the module a part of a list. The rest follows behind whatever has come by now.
     fn tell_part(&mut self, kind: ListKind, list: &[d::Member]) {
-        if self.telling.is_due() {
+        if self.update_queue.is_due() {
             let _ = self.own_notes.send(Note::Part);
         }
         self.tell(Event::Members { kind, list });
@@ -879,11 +881,12 @@
         self.timers.push(Reverse((Instant::now() + SUBSET_EVERY, Due::Subset)));
         let (all, well) = self.balancer.standing(now);
         let Some(subset) = &mut self.subset else { return };
-        let mut list = subset.passed(now);
-        list.extend(subset.seen(now, all, well));
+        let last = |id| self.upstreams.member(id);
+        let mut list = subset.passed(now, last);
+        list.extend(subset.seen(now, all, well, last));
         self.balancer.shared_by(subset.sharers());
         if !list.is_empty() {
-            let part = self.telling.listed(ListKind::Aside, list);
+            let part = self.update_queue.listed(ListKind::Aside, list, last);
             self.tell_part(part.kind, &part.members);
         }
     }
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -3,18 +3,19 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollowpaddle_comeback::{Belief, SETTLED, Starts, Way, What, belief};
 use hollowpaddle_operations::{Copied, Words};
 use hollowpaddle_policy::learned::Learned;
 use hollowpaddle_snapshot::{Found, Saver, Status};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use tokio::time::{Instant, sleep};
 
 use crate::engine::Door;
 use crate::members::List;
-use crate::relisted::{Relisted, relisted};
+use crate::restored_list::{RestoredList, restored_list};
 
 /// How often what was learned is saved. A kill costs the news of so long.
 const EVERY: Duration = Duration::from_secs(2);
@@ -62,14 +63,23 @@
     learned: Option<Learned>,
     /// When that was learned, in milliseconds of Unix time. What is only passed on grows no younger.
     learned_ms: u64,
-    /// The list as last heard.
-    list: Option<List>,
+    /// The list as last heard. Shared with what is being saved: it is as long as the fleet is large.
+    #[serde(serialize_with = "as_list", deserialize_with = "shared_list")]
+    list: Option<Arc<List>>,
     /// When that was, in milliseconds of Unix time.
     list_ms: u64,
     /// What operators have said. None: the build that saved this kept no copy, or nobody was here.
     said: Option<Words>,
 }
 
+fn as_list<S: Serializer>(list: &Option<Arc<List>>, serializer: S) -> Result<S::Ok, S::Error> {
+    list.as_deref().serialize(serializer)
+}
+
+fn shared_list<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Arc<List>>, D::Error> {
+    Ok(Option::<List>::deserialize(deserializer)?.map(Arc::new))
+}
+
 /// How a start went on, for operators.
 #[derive(Serialize)]
 struct Comeback {
@@ -117,7 +127,12 @@
     /// Reads what lies there, as far as it is to be believed at `now` (Unix time) under settings of this
     /// [meaning](hollowpaddle_policy::settings::Facts::meaning), and notes this start. Beside it what counts of the list
     /// as last heard, over the one that the configuration names.
-    pub fn read(kept: Kept, now: Duration, known: &List, meaning: u64) -> (Self, Option<Relisted>) {
+    pub fn read(
+        kept: Kept,
+        now: Duration,
+        known: &List,
+        meaning: u64,
+    ) -> (Self, Option<RestoredList>) {
         let Kept { keep, found } = kept;
         let mut set_aside = Vec::new();
         for aside in &found.aside {
@@ -149,7 +164,7 @@
             (state.learned, state.learned_ms, state.list) = (None, 0, None);
         }
         let heard = now.saturating_sub(Duration::from_millis(state.list_ms));
-        let list = state.list.as_ref().and_then(|list| relisted(list, known, heard, now));
+        let list = state.list.as_ref().and_then(|list| restored_list(list, known, heard, now));
         let list_age_s = list.is_some().then_some(heard.as_secs_f64());
         if list.is_none() {
             state.list = None;
@@ -291,7 +306,8 @@
                 }
             }
             self.lists.set(lists);
-            self.state.borrow_mut().list = Some(List { revision, complete: true, members });
+            let list = List { revision, complete: true, members };
+            self.state.borrow_mut().list = Some(Arc::new(list));
         }
         self.state.borrow_mut().list_ms = self.now().as_millis() as u64;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,17 +16,21 @@
 mod freshness;
 mod http;
 mod kept;
+#[doc(hidden)]
+pub mod list_reader;
 pub mod members;
-mod membership;
-mod objects;
+#[doc(hidden)] // for the measurements in `tests/list_memory.rs`
+pub mod membership;
+mod names;
 mod operators;
 mod relay;
-mod relisted;
+mod restored_list;
 mod serve;
 mod stream;
 mod subsetting;
 mod tasks;
-mod telling;
+#[doc(hidden)]
+pub mod update_queue;
 mod upstreams;
 
 pub use config::{Config, ConfigError};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::config::Config;
 use crate::engine::{Door, Engine, EngineError};
 use crate::kept::{Keeper, Kept, Recovered};
+use crate::members::List;
 use crate::operators::{Operated, Operating, Operators};
 use crate::tasks::AbortOnDrop;
 use crate::upstreams::Pool;
@@ -112,7 +113,7 @@
 /// configuration that comes on `reloads` moves the watch to the discovery it names.
 /// Must run inside a `LocalSet`.
 pub async fn serve(
-    config: Config,
+    mut config: Config,
     network: Rc<dyn Network>,
     listener: Box<dyn Listener>,
     provided: Provided,
@@ -125,12 +126,15 @@
     let started = network.unix_now();
     let meaning = config.facts.meaning();
     let recovered = kept.map(|kept| Recovered::read(kept, started, &config.known, meaning));
-    let (recovered, relisted) = recovered.map_or((None, None), |(all, list)| (Some(all), list));
+    let (recovered, restored_list) =
+        recovered.map_or((None, None), |(all, list)| (Some(all), list));
     let banked =
         bank.as_ref().map(|link| Banked { calls: link.calls.clone(), classes: classes(&config) });
     let (reader, news) = bank.map_or((None, None), |link| (Some(link.reader), Some(link.news)));
     let reader = reader.map(|r| Rc::new(r) as Rc<dyn Rulebook>);
-    let (engine, handle) = Engine::new(&config, relisted, pool, network, reader)?;
+    let (engine, handle) = Engine::new(&config, restored_list, pool, network, reader)?;
+    // The engine has its own records of it; the rest of the configuration stays for as long as this serves.
+    config.known = List::default();
     let mut engine = AbortOnDrop(tokio::task::spawn_local(engine.run()));
     let tell = handle.banker();
     let _news = news.map(|mut news| {
