Let a load name tenants in its requests

The capacity measurements need requests of many tenants, since the daemon looks each request's tenant up by name. A profile's `tenants` (0 by default, no change) draws one of t0 and up for each request of the platform's kind. Histograms of several classes can be added, for one percentile over all of them.

--- a/crates/load/src/account.rs
+++ b/crates/load/src/account.rs
@@ -104,6 +104,14 @@
         }
     }
 
+    /// Takes in all that another has.
+    pub fn add(&mut self, other: &Self) {
+        if let (Some(all), Some(more)) = (&mut self.0, &other.0) {
+            // Both have the same bounds, so nothing of the other lies outside of them.
+            let _ = all.add(more);
+        }
+    }
+
     /// All of them.
     pub fn spread(&self) -> Spread {
         let Some(h) = self.0.as_ref().filter(|h| !h.is_empty()) else { return Spread::default() };
--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -14,7 +14,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use rand::{Rng, SeedableRng};
+use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Semaphore;
 use tokio::task::{AbortHandle, spawn_local, yield_now};
@@ -301,9 +301,11 @@
 
     fn request(&self, class: usize, until: Instant) -> Request<Full<Bytes>> {
         let of = &self.profile.classes[class];
-        let (id, key) = {
+        let tenants = self.profile.tenants;
+        let (id, key, tenant) = {
             let mut rng = self.ids.borrow_mut();
-            (rng.next_u64(), rng.next_u64())
+            let (id, key) = (rng.next_u64(), rng.next_u64());
+            (id, key, (tenants > 0).then(|| rng.random_range(0..tenants)))
         };
         let body = Bytes::from(vec![b'x'; of.body]);
         let mut request = Request::new(Full::new(body));
@@ -331,6 +333,9 @@
             set("x-class", of.name.clone());
             set("x-deadline-ms", left.to_string());
             set("cookie", format!("sid={key:016x}"));
+            if let Some(tenant) = tenant {
+                set("x-tenant", format!("t{tenant}"));
+            }
             if of.effect == Effect::Keyed {
                 set("idempotency-key", format!("{id:016x}{key:016x}"));
             }
--- a/crates/load/src/profile.rs
+++ b/crates/load/src/profile.rs
@@ -11,6 +11,8 @@
 const LONGEST_S: f64 = 24.0 * 3600.0;
 /// Most requests a second that may be asked for; no single core sends as many.
 const MOST_RATE: f64 = 1e6;
+/// Most tenants that requests may name.
+const MOST_TENANTS: u32 = 10_000_000;
 
 /// A load.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +29,9 @@
     pub kept: bool,
     /// Whether requests say what the platform's do (`X-Request-Id`, `X-Class`, `X-Deadline-Ms`, keys).
     pub platform: bool,
+    /// Requests name one of so many tenants, `t0` and up, each as often as any other (`X-Tenant`); none if 0. Only where
+    /// they say what the platform's do.
+    pub tenants: u32,
 }
 
 /// When requests come.
@@ -85,6 +90,7 @@
             connections: 256,
             kept: true,
             platform: false,
+            tenants: 0,
         }
     }
 
@@ -127,6 +133,7 @@
         connections: top.whole("connections", 1..=60_000, Some(256)),
         kept: top.flag("keep_connections", true),
         platform: top.flag("platform", true),
+        tenants: top.whole("tenants", 0..=MOST_TENANTS, Some(0)),
     };
     top.finish();
     profile
