--- /dev/null
+++ b/crates/models/src/bin/control-plane-figures.rs
@@ -0,0 +1,34 @@
+//! Prints the cost of the control plane at one size as a line of JSON, in virtual time:
+//! `cargo run --release -p hollowpaddle-models --bin control-plane-figures -- BALANCERS LOSS_PERCENT SEED`.
+
+use std::process::ExitCode;
+
+use hollowpaddle_models::control_plane::{Scenario, measure};
+
+const USAGE: &str = "usage: control-plane-figures BALANCERS LOSS_PERCENT SEED";
+
+fn scenario() -> Option<Scenario> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [balancers, loss, seed] = arguments.as_slice() else { return None };
+    let percent: f64 = loss.parse().ok()?;
+    Some(Scenario {
+        balancers: balancers.parse().ok()?,
+        loss: percent / 100.0,
+        seed: seed.parse().ok()?,
+    })
+}
+
+fn main() -> ExitCode {
+    let Some(scenario) = scenario() else {
+        eprintln!("{USAGE}");
+        return ExitCode::FAILURE;
+    };
+    match serde_json::to_string(&measure(scenario)) {
+        Ok(line) => println!("{line}"),
+        Err(cause) => {
+            eprintln!("control-plane-figures: {cause}");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`world`]: whole `Machine`s over a played network. [`day`] draws a day of faults of 5 to 7 of them; [`judge`] looks on,
 //!   and [`history`] asks whether one register could have answered so. Tests: `days`.
 //! - [`figures`]: what a bank of up to 300 takes, printed by `bin/bank-figures`. Tests: `figures`.
+//! - [`control_plane`]: cost as a function of the number of balancers, printed by `bin/control-plane-figures`. Tests:
+//!   `control_plane`.
 //! - `tests/published.rs`: what requests read, under `loom`.
 //! - `tests/findings.rs`: what was found and is not mended yet.
 //!
@@ -25,6 +27,7 @@
 #![warn(missing_docs)]
 
 pub mod agreement;
+pub mod control_plane;
 pub mod day;
 pub mod figures;
 pub mod history;
