--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -8,3 +8,4 @@
 
 pub mod discovery;
 pub mod fleet;
+pub mod measure;
