--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -7,5 +7,6 @@
 #![warn(missing_docs)]
 
 pub mod discovery;
+pub mod fit;
 pub mod fleet;
 pub mod measure;
--- a/crates/models/src/control_plane.rs
+++ b/crates/models/src/control_plane.rs
@@ -149,6 +149,8 @@
     pub all_leased_ms: Option<u64>,
     /// Balancers without a lease at the end of what was measured.
     pub without_lease: usize,
+    /// Whether the restarted leader is one of them.
+    pub restarted_without_lease: bool,
     /// What was sent meanwhile, until all balancers hold leases again.
     pub traffic: Traffic,
 }
@@ -252,7 +254,8 @@
 fn failover(world: &mut World) -> Failover {
     world.count_anew();
     let began = world.now;
-    if let Some(leader) = world.leader() {
+    let killed = world.leader();
+    if let Some(leader) = killed {
         world.crash(leader);
         world.start_after(leader, RESTART_AFTER);
     }
@@ -264,6 +267,13 @@
         commit_again_ms: commit_again.map(|(_, time)| time.as_millis() as u64),
         all_leased_ms: leased.map(|_| (world.now - began).as_millis() as u64),
         without_lease: size - share_leased(world),
+        restarted_without_lease: killed.is_some_and(|leader| !has_lease(world, leader)),
         traffic: Traffic::since_reset(world, world.now - began),
     }
 }
+
+fn has_lease(world: &World, balancer: u16) -> bool {
+    let node = &world.nodes[usize::from(balancer)];
+    node.machine.is_some()
+        && node.published.as_ref().is_some_and(|in_force| node.clock(world.now) < in_force.until)
+}
