--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`figures`]: what a bank of up to 300 takes, printed by `bin/bank-figures`. Tests: `figures`.
 //! - [`control_plane`]: cost as a function of the number of balancers, printed by `bin/control-plane-figures`. Tests:
 //!   `control_plane`.
+//! - [`change_limits`]: whether a change is accepted by the size of the fleet, printed by `bin/change-limits`. Tests:
+//!   `change_limits`.
 //! - `tests/published.rs`: what requests read, under `loom`.
 //! - `tests/findings.rs`: what was found and is not mended yet.
 //!
@@ -27,6 +29,7 @@
 #![warn(missing_docs)]
 
 pub mod agreement;
+pub mod change_limits;
 pub mod control_plane;
 pub mod day;
 pub mod figures;
