Add hollow balancers and the program `hollow` with five runs

How the daemon's control plane behaves at 4,300 balancers was arithmetic only: one process per balancer does not fit on one machine, and a model would measure itself.

A hollow balancer is the gateway's own `serve` on the machine's network behind counters; many are local tasks of a few threads. What it sends to shows which version of the list is in force: a canary service has one upstream at a time, each measured change replaces it, and a probe request to every balancer tells which one answers. Ruled out: a hook inside the gateway, which would say when a list was read and not when requests follow it, and which real processes would not have.

Runs: rest, changes, restarts, zone, restart-all; each prints one JSON line and is bounded in time, memory and descriptors.

--- /dev/null
+++ b/crates/hollow/src/bin/hollow.rs
@@ -0,0 +1,127 @@
+//! Runs hollow balancers before a stand-in fleet, and prints the figures as one JSON line.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+use hollowpaddle_hollow::cluster::{HarnessError, Options};
+use hollowpaddle_hollow::fleet::{Fleet, SubsetConfig};
+use hollowpaddle_hollow::report::Report;
+use hollowpaddle_hollow::runs::Run;
+use tokio::task::LocalSet;
+
+/// Bytes in a megabyte as the memory limit counts them.
+const MEBIBYTE: u64 = 1 << 20;
+
+/// Runs many balancers without client traffic in one process, over loopback.
+#[derive(Parser)]
+struct CommandLine {
+    #[command(subcommand)]
+    run: RunCommand,
+}
+
+#[derive(Subcommand)]
+enum RunCommand {
+    /// Nothing happens.
+    Rest(Common),
+    /// Upstreams drain and come back.
+    Changes {
+        #[command(flatten)]
+        common: Common,
+        /// Changes a second.
+        #[arg(long, default_value_t = 1.0)]
+        rate: f64,
+    },
+    /// Upstreams restart, with three list changes each.
+    Restarts {
+        #[command(flatten)]
+        common: Common,
+        /// Seconds from one restart to the next; 7 in the planned deployment.
+        #[arg(long, default_value_t = 7.0)]
+        every: f64,
+    },
+    /// A rack and a zone are lost and back.
+    Zone(Common),
+    /// All balancers are started anew at once.
+    RestartAll(Common),
+}
+
+#[derive(Args, Clone, Copy)]
+struct Common {
+    /// Hollow balancers.
+    #[arg(long, default_value_t = 25)]
+    balancers: usize,
+    /// Upstreams in the list.
+    #[arg(long, default_value_t = 2_000)]
+    upstreams: usize,
+    /// Seconds to measure.
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// Threads that hold the balancers.
+    #[arg(long, default_value_t = 3)]
+    threads: usize,
+    /// For all random numbers.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Each balancer keeps so many times its even part of the fleet, and not all of it.
+    #[arg(long)]
+    subset: Option<f64>,
+    /// Upstreams of each zone that a subset has at least.
+    #[arg(long, default_value_t = 64)]
+    subset_least: usize,
+    /// Balancers talk to each other by datagrams.
+    #[arg(long)]
+    peers: bool,
+    /// Megabytes of resident memory beyond which no more balancers are started.
+    #[arg(long, default_value_t = 2_600)]
+    memory_limit: u64,
+}
+
+impl Common {
+    fn options(&self) -> Options {
+        let least = self.subset_least;
+        Options {
+            fleet: Fleet::of(self.balancers, self.upstreams),
+            seed: self.seed,
+            threads: self.threads,
+            subset: self.subset.map(|times| SubsetConfig { times, least }),
+            peers: self.peers,
+            memory_limit: self.memory_limit * MEBIBYTE,
+        }
+    }
+}
+
+impl RunCommand {
+    fn parts(&self) -> (Run, Common) {
+        match self {
+            Self::Rest(common) => (Run::Rest, *common),
+            Self::Changes { common, rate } => (Run::Changes { rate: *rate }, *common),
+            Self::Restarts { common, every } => {
+                (Run::Restarts { every: Duration::from_secs_f64(*every) }, *common)
+            }
+            Self::Zone(common) => (Run::Zone, *common),
+            Self::RestartAll(common) => (Run::RestartAll, *common),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let (run, common) = CommandLine::parse().run.parts();
+    match play(run, common) {
+        Ok(report) => {
+            println!("{}", serde_json::to_string(&report).expect("plain values serialize"));
+            ExitCode::SUCCESS
+        }
+        Err(cause) => {
+            eprintln!("hollow: {cause}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn play(run: Run, common: Common) -> Result<Report, HarnessError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let seconds = Duration::from_secs_f64(common.seconds);
+    LocalSet::new().block_on(&runtime, run.play(common.options(), seconds))
+}
--- /dev/null
+++ b/crates/hollow/src/canary.rs
@@ -0,0 +1,187 @@
+//! Canary upstreams: a series of upstreams of one service, of which one is listed at a time. Which of them
+//! answers a request shows which version of the list is in force at the balancer that sent it.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use hollowpaddle_net::{Listener, Network, Tcp, accept};
+use hollowpaddle_rehearsal::wire::{Message, Side, Talk};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::fleet::{CANARY_SERVICE, ListEntry, Phase};
+
+/// Addresses that canaries use in turn. One is used again only after all others, long after the grace.
+const SLOTS: usize = 64;
+/// Pause after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// The number of a canary in its series, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CanaryNumber(pub u64);
+
+impl CanaryNumber {
+    /// The canary that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+
+    fn slot(self) -> usize {
+        (self.0 % SLOTS as u64) as usize
+    }
+}
+
+/// The addresses of canary upstreams. They answer until this is dropped.
+pub struct Canaries {
+    addresses: Vec<SocketAddr>,
+    requests: Arc<Mutex<Vec<Option<Instant>>>>,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Canaries {
+    /// Listens on ephemeral loopback ports, on a thread of its own.
+    ///
+    /// # Errors
+    /// There are no ports or no thread to be had.
+    pub fn start() -> io::Result<Self> {
+        let requests = Arc::new(Mutex::new(vec![None; SLOTS]));
+        let (stop, stopped) = watch::channel(false);
+        let (report, started) = std::sync::mpsc::channel();
+        let seen = requests.clone();
+        let builder = std::thread::Builder::new().name("canaries".into());
+        let thread = builder.spawn(move || run(seen, stopped, report))?;
+        let ended = || io::Error::other("the canaries' thread ended before it listened");
+        let addresses = started.recv().map_err(|_| ended())??;
+        Ok(Self { addresses, requests, stop, thread: Some(thread) })
+    }
+
+    /// The list entry of a canary.
+    pub fn entry(&self, number: CanaryNumber, phase: Phase) -> ListEntry {
+        ListEntry {
+            id: format!("{CANARY_SERVICE}-{}", number.0),
+            host_port: self.addresses[number.slot()].to_string(),
+            locality: CANARY_SERVICE.to_string(),
+            flavor: CANARY_SERVICE.to_string(),
+            cell: 0,
+            phase,
+            size: 1.0,
+            up_since_ms: 0,
+        }
+    }
+
+    /// When the last request came to this canary's address, if any did.
+    pub fn last_request(&self, number: CanaryNumber) -> Option<Instant> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)[number.slot()]
+    }
+
+    /// Which canary wrote this body. Of those that share an address it is the one nearest to `expected`.
+    pub fn of_body(body: &[u8], expected: CanaryNumber) -> Option<CanaryNumber> {
+        let slot: u64 = std::str::from_utf8(body).ok()?.parse().ok()?;
+        let ahead = (slot + SLOTS as u64 - expected.slot() as u64) % SLOTS as u64;
+        let is_behind = ahead > SLOTS as u64 / 2;
+        let number = expected.0 + ahead;
+        Some(CanaryNumber(if is_behind { number.saturating_sub(SLOTS as u64) } else { number }))
+    }
+}
+
+impl Drop for Canaries {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+type Requests = Arc<Mutex<Vec<Option<Instant>>>>;
+
+/// The thread's body: answers until it is told to stop.
+fn run(
+    requests: Requests,
+    mut stopped: watch::Receiver<bool>,
+    report: std::sync::mpsc::Sender<io::Result<Vec<SocketAddr>>>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(cause) => return drop(report.send(Err(cause))),
+    };
+    LocalSet::new().block_on(&runtime, async move {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listeners: io::Result<Vec<_>> = (0..SLOTS).map(|_| Tcp.listen(any)).collect();
+        let listeners = match listeners {
+            Ok(listeners) => listeners,
+            Err(cause) => return drop(report.send(Err(cause))),
+        };
+        let _ = report.send(Ok(listeners.iter().map(|l| l.local_addr()).collect()));
+        for (slot, listener) in listeners.into_iter().enumerate() {
+            spawn_local(accept_all(slot, listener, requests.clone()));
+        }
+        let _ = stopped.changed().await;
+    });
+}
+
+async fn accept_all(slot: usize, mut listener: Box<dyn Listener>, requests: Requests) {
+    loop {
+        match accept(&mut *listener).await {
+            Ok((stream, _)) => {
+                spawn_local(answer_all(slot, Talk::new(stream), requests.clone()));
+            }
+            Err(_) => sleep(ACCEPT_BACKOFF).await,
+        }
+    }
+}
+
+async fn answer_all(slot: usize, mut talk: Talk, requests: Requests) {
+    while talk.message(Side::Requests).await.is_ok() {
+        requests.lock().unwrap_or_else(PoisonError::into_inner)[slot] = Some(Instant::now());
+        let body = slot.to_string();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        if talk.write((head + &body).as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// What a balancer answers to a request of the canary service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeAnswer {
+    /// This canary served it.
+    Served(CanaryNumber),
+    /// The balancer refused it, or it failed.
+    Refused,
+    /// There was no answer.
+    NoAnswer,
+}
+
+/// Longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(3);
+/// What a probe gives as its own deadline, in milliseconds.
+const PROBE_DEADLINE_MS: u64 = 1_000;
+
+/// Sends one request of the canary service to a balancer on a connection of its own. `id` must be new.
+pub async fn probe(balancer: SocketAddr, id: u64, expected: CanaryNumber) -> ProbeAnswer {
+    match tokio::time::timeout(PROBE_TIMEOUT, exchange(balancer, id)).await {
+        Ok(Some(answer)) if answer.status() == 200 => {
+            let served = Canaries::of_body(&answer.body, expected);
+            served.map_or(ProbeAnswer::NoAnswer, ProbeAnswer::Served)
+        }
+        Ok(Some(_)) => ProbeAnswer::Refused,
+        Ok(None) | Err(_) => ProbeAnswer::NoAnswer,
+    }
+}
+
+async fn exchange(balancer: SocketAddr, id: u64) -> Option<Message> {
+    let mut talk = Talk::new(Tcp.connect(balancer).await.ok()?);
+    let request = format!(
+        "GET /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: probe-{id}\r\nX-Class: {CANARY_SERVICE}\r\n\
+         X-Tenant: t0\r\nX-Deadline-Ms: {PROBE_DEADLINE_MS}\r\nConnection: close\r\n\r\n"
+    );
+    talk.write(request.as_bytes()).await.ok()?;
+    talk.message(Side::Answers).await.ok()
+}
--- a/crates/hollow/src/discovery.rs
+++ b/crates/hollow/src/discovery.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hollowpaddle_net::{Listener, Network, Tcp, accept};
@@ -100,6 +100,11 @@
         revision
     }
 
+    /// When the change to this version was last written to a watch, if it was written to any.
+    pub fn last_written(&self, revision: u64) -> Option<Instant> {
+        self.shared.written().get(&revision).copied()
+    }
+
     /// Changes how it behaves from here on.
     pub fn set_mode(&self, mode: Mode) {
         self.shared.mode.send_replace(mode);
@@ -147,6 +152,8 @@
     newest: watch::Sender<u64>,
     mode: watch::Sender<Mode>,
     counters: Counters,
+    /// When each of the last versions was last written to a watch.
+    written: Mutex<BTreeMap<u64, Instant>>,
 }
 
 impl Shared {
@@ -156,6 +163,23 @@
             newest: watch::Sender::new(FIRST_REVISION),
             mode: watch::Sender::new(Mode::Answering),
             counters: Counters::default(),
+            written: Mutex::default(),
+        }
+    }
+
+    fn written(&self) -> MutexGuard<'_, BTreeMap<u64, Instant>> {
+        self.written.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the versions after `from` up to `to` have been written to a watch.
+    fn note_written(&self, from: u64, to: u64) {
+        let now = Instant::now();
+        let mut written = self.written();
+        for revision in from + 1..=to {
+            written.insert(revision, now);
+        }
+        while written.len() > KEPT_CHANGES {
+            written.pop_first();
         }
     }
 
@@ -383,6 +407,9 @@
         for chunk in chunks {
             self.write(&chunk).await?;
         }
+        if reached > sent {
+            self.shared.note_written(sent, reached);
+        }
         Ok(reached)
     }
 
--- a/crates/hollow/src/fleet.rs
+++ b/crates/hollow/src/fleet.rs
@@ -140,12 +140,14 @@
     }
 
     fn settings(&self, balancer: &BalancerConfig) -> Value {
-        let zones: Vec<String> = (0..self.zones).map(|zone| self.zone_name(zone)).collect();
+        let mut zones: Vec<String> = (0..self.zones).map(|zone| self.zone_name(zone)).collect();
         let mut services: Vec<Value> = (0..self.services).map(service).collect();
         let mut machine_types: Vec<String> = (0..self.services).map(machine_type).collect();
         if balancer.canary {
             services.push(class(CANARY_SERVICE, self.services));
             machine_types.push(CANARY_SERVICE.to_string());
+            // A zone of its own: a subset takes something of each zone, so that every balancer holds the canary.
+            zones.push(CANARY_SERVICE.to_string());
         }
         let tenants: Vec<Value> = (0..self.tenants).map(tenant).collect();
         json!({
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -2,9 +2,22 @@
 //! fleet of the size that is planned for.
 //!
 //! [`fleet`] describes a fleet by counts and writes configurations and list entries; [`discovery`] serves the
-//! list to thousands of watches. Nothing here is linked into the daemon.
+//! list to thousands of watches; [`workers`] run the gateway's own code on threads that hold many balancers each,
+//! on a network that counts ([`metered`]). [`canary`] upstreams show which version of the list is in force where;
+//! [`prober`] measures with them, and [`runs`] are the runs of the program `hollow`, each with one [`report`].
+//!
+//! Nothing here is linked into the daemon.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod canary;
+pub mod cluster;
 pub mod discovery;
 pub mod fleet;
+pub mod metered;
+pub mod prober;
+pub mod report;
+pub mod runs;
+pub mod spread;
+pub mod usage;
+pub mod workers;
