--- a/crates/hollow/src/runs.rs
+++ b/crates/hollow/src/runs.rs
@@ -148,27 +148,28 @@
     }
 }
 
-/// Random upstreams drain and come back, one change after each `1 / rate` seconds.
+/// Random upstreams drain and come back, one change after each `1 / rate` seconds. Every change is measured, or
+/// at higher rates each of a fixed number, so that runs of one rate are alike.
 async fn change_upstreams(cluster: &HollowCluster, seconds: Duration, rate: f64) -> InForce {
     let fleet = cluster.options().fleet;
     let mut rng = Rand64::new(u128::from(cluster.options().seed));
     let mut waits = Waits::new(cluster);
     let mut ticks = interval(Duration::from_secs_f64(1.0 / rate));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (began, mut rotated) = (Instant::now(), None::<Instant>);
-    let mut drains = None;
-    while began.elapsed() < seconds {
+    let changes = (seconds.as_secs_f64() * rate).ceil() as u64;
+    let changes_per_rotation = (SHORTEST_ROTATION.as_secs_f64() * rate).ceil() as u64;
+    let mut draining = None;
+    for number in 0..changes {
         ticks.tick().await;
-        let change = match drains.take() {
+        let change = match draining.take() {
             Some(upstream) => fleet.entry(upstream),
             None => {
                 let upstream = rng.rand_range(0..fleet.upstreams as u64) as usize;
-                drains = Some(upstream);
+                draining = Some(upstream);
                 with_phase(&fleet, upstream, Phase::Draining)
             }
         };
-        if rotated.is_none_or(|at| at.elapsed() >= SHORTEST_ROTATION) {
-            rotated = Some(Instant::now());
+        if number % changes_per_rotation == 0 {
             waits.publish(vec![change]);
         } else {
             cluster.prober.discovery.publish(vec![change]);
