Measure real processes of the daemon before the same stand-ins as hollow balancers

Figures of hollow balancers need a check against the program that is deployed: they share an allocator, a listener thread and a runtime, which a process has to itself. `hollow real` starts processes of a given daemon, publishes the same changes, and prints memory and processor time of each process beside the means of bytes. The changes take a subject, hollow or real, in place of the hollow cluster.

--- a/crates/hollow/src/bin/hollow.rs
+++ b/crates/hollow/src/bin/hollow.rs
@@ -1,14 +1,16 @@
 //! Runs hollow balancers before a stand-in fleet, and prints the figures as one JSON line.
 #![forbid(unsafe_code)]
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
 use hollowpaddle_hollow::cluster::{HarnessError, Options};
 use hollowpaddle_hollow::fleet::{Fleet, SubsetConfig};
-use hollowpaddle_hollow::report::Report;
+use hollowpaddle_hollow::processes::play_real;
 use hollowpaddle_hollow::runs::Run;
+use serde::Serialize;
 use tokio::task::LocalSet;
 
 /// Bytes in a megabyte as the memory limit counts them.
@@ -45,6 +47,17 @@
     Zone(Common),
     /// All balancers are started anew at once.
     RestartAll(Common),
+    /// Real processes of the daemon, for comparison.
+    Real {
+        #[command(flatten)]
+        common: Common,
+        /// The daemon's program.
+        #[arg(long)]
+        daemon: PathBuf,
+        /// Changes a second; none where this is not given.
+        #[arg(long)]
+        rate: Option<f64>,
+    },
 }
 
 #[derive(Args, Clone, Copy)]
@@ -79,6 +92,10 @@
 }
 
 impl Common {
+    fn duration(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+
     fn options(&self) -> Options {
         let least = self.subset_least;
         Options {
@@ -92,25 +109,10 @@
     }
 }
 
-impl RunCommand {
-    fn parts(&self) -> (Run, Common) {
-        match self {
-            Self::Rest(common) => (Run::Rest, *common),
-            Self::Changes { common, rate } => (Run::Changes { rate: *rate }, *common),
-            Self::Restarts { common, every } => {
-                (Run::Restarts { every: Duration::from_secs_f64(*every) }, *common)
-            }
-            Self::Zone(common) => (Run::Zone, *common),
-            Self::RestartAll(common) => (Run::RestartAll, *common),
-        }
-    }
-}
-
 fn main() -> ExitCode {
-    let (run, common) = CommandLine::parse().run.parts();
-    match play(run, common) {
-        Ok(report) => {
-            println!("{}", serde_json::to_string(&report).expect("plain values serialize"));
+    match play(CommandLine::parse().run) {
+        Ok(line) => {
+            println!("{line}");
             ExitCode::SUCCESS
         }
         Err(cause) => {
@@ -120,8 +122,31 @@
     }
 }
 
-fn play(run: Run, common: Common) -> Result<Report, HarnessError> {
+/// Plays a run to its end; its report as one line.
+fn play(command: RunCommand) -> Result<String, HarnessError> {
+    match command {
+        RunCommand::Rest(common) => play_hollow(Run::Rest, common),
+        RunCommand::Changes { common, rate } => play_hollow(Run::Changes { rate }, common),
+        RunCommand::Restarts { common, every } => {
+            play_hollow(Run::Restarts { every: Duration::from_secs_f64(every) }, common)
+        }
+        RunCommand::Zone(common) => play_hollow(Run::Zone, common),
+        RunCommand::RestartAll(common) => play_hollow(Run::RestartAll, common),
+        RunCommand::Real { common, daemon, rate } => {
+            let fleet = common.options().fleet;
+            block_on(play_real(&daemon, fleet, common.seed, common.duration(), rate))
+        }
+    }
+}
+
+fn play_hollow(run: Run, common: Common) -> Result<String, HarnessError> {
+    block_on(run.play(common.options(), common.duration()))
+}
+
+fn block_on<R: Serialize>(
+    run: impl Future<Output = Result<R, HarnessError>>,
+) -> Result<String, HarnessError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let seconds = Duration::from_secs_f64(common.seconds);
-    LocalSet::new().block_on(&runtime, run.play(common.options(), seconds))
+    let report = LocalSet::new().block_on(&runtime, run)?;
+    Ok(serde_json::to_string(&report).expect("plain values serialize"))
 }
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -5,6 +5,7 @@
 //! list to thousands of watches; [`workers`] run the gateway's own code on threads that hold many balancers each,
 //! on a network that counts ([`metered`]). [`canary`] upstreams show which version of the list is in force where;
 //! [`prober`] measures with them, and [`runs`] are the runs of the program `hollow`, each with one [`report`].
+//! Real processes of the daemon before the same stand-ins ([`processes`]) show how far hollow figures hold.
 //!
 //! Nothing here is linked into the daemon.
 #![forbid(unsafe_code)]
@@ -16,6 +17,7 @@
 pub mod fleet;
 pub mod metered;
 pub mod prober;
+pub mod processes;
 pub mod report;
 pub mod runs;
 pub mod spread;
--- a/crates/hollow/src/runs.rs
+++ b/crates/hollow/src/runs.rs
@@ -1,6 +1,7 @@
 //! The runs of the program `hollow`. Each starts a cluster, does one thing to it for a stated time, and ends
 //! by itself with a [`Report`].
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,7 @@
 
 use crate::cluster::{HarnessError, HollowCluster, Options};
 use crate::fleet::{Fleet, ListEntry, Phase};
-use crate::prober::{InForce, Rotation};
+use crate::prober::{InForce, Prober, Rotation};
 use crate::report::{Measured, Report};
 
 /// Longest wait for a change to be in force at a balancer.
@@ -96,14 +97,15 @@
         cluster: &HollowCluster,
         seconds: Duration,
     ) -> Result<InForce, HarnessError> {
+        let subject = Subject::of_hollow(cluster);
         match self {
             Self::Rest => {
                 sleep(seconds).await;
                 Ok(InForce::new())
             }
-            Self::Changes { rate } => Ok(change_upstreams(cluster, seconds, rate).await),
-            Self::Restarts { every } => Ok(restart_upstreams(cluster, seconds, every).await),
-            Self::Zone => Ok(lose_rack_and_zone(cluster).await),
+            Self::Changes { rate } => Ok(change_upstreams(&subject, seconds, rate).await),
+            Self::Restarts { every } => Ok(restart_upstreams(&subject, seconds, every).await),
+            Self::Zone => Ok(lose_rack_and_zone(&subject).await),
             Self::RestartAll => {
                 let times = cluster.restart_all().await?;
                 sleep(seconds).await;
@@ -113,26 +115,49 @@
     }
 }
 
+/// The balancers that changes are published to, hollow or real.
+pub struct Subject {
+    /// Discovery, the canaries and the probes.
+    pub prober: Rc<Prober>,
+    /// Where clients reach the balancers.
+    pub addresses: Vec<SocketAddr>,
+    /// The fleet that discovery lists.
+    pub fleet: Fleet,
+    /// For the choice of upstreams.
+    pub seed: u64,
+}
+
+impl Subject {
+    fn of_hollow(cluster: &HollowCluster) -> Self {
+        let Options { fleet, seed, .. } = *cluster.options();
+        Self { prober: cluster.prober.clone(), addresses: cluster.addresses(), fleet, seed }
+    }
+
+    fn random_upstreams(&self) -> Rand64 {
+        Rand64::new(u128::from(self.seed))
+    }
+}
+
 /// Waits for measured changes that are still under way.
 struct Waits<'a> {
-    cluster: &'a HollowCluster,
+    subject: &'a Subject,
     waits: Vec<JoinHandle<InForce>>,
 }
 
 impl<'a> Waits<'a> {
-    fn new(cluster: &'a HollowCluster) -> Self {
-        Self { cluster, waits: Vec::new() }
+    fn new(subject: &'a Subject) -> Self {
+        Self { subject, waits: Vec::new() }
     }
 
     /// Publishes a change with a new canary, and follows it into force at every balancer.
     fn publish(&mut self, entries: Vec<ListEntry>) {
-        let rotation = self.cluster.prober.publish_with_canary(entries);
+        let rotation = self.subject.prober.publish_with_canary(entries);
         self.follow(rotation);
     }
 
     fn follow(&mut self, rotation: Rotation) {
-        let prober = Rc::clone(&self.cluster.prober);
-        let addresses = self.cluster.addresses();
+        let prober = Rc::clone(&self.subject.prober);
+        let addresses = self.subject.addresses.clone();
         self.waits.push(spawn_local(async move {
             let Rotation { canary, published, .. } = rotation;
             prober.wait_in_force(&addresses, canary, published, IN_FORCE_LIMIT).await
@@ -150,10 +175,10 @@
 
 /// Random upstreams drain and come back, one change after each `1 / rate` seconds. Every change is measured, or
 /// at higher rates each of a fixed number, so that runs of one rate are alike.
-async fn change_upstreams(cluster: &HollowCluster, seconds: Duration, rate: f64) -> InForce {
-    let fleet = cluster.options().fleet;
-    let mut rng = Rand64::new(u128::from(cluster.options().seed));
-    let mut waits = Waits::new(cluster);
+pub async fn change_upstreams(subject: &Subject, seconds: Duration, rate: f64) -> InForce {
+    let fleet = subject.fleet;
+    let mut rng = subject.random_upstreams();
+    let mut waits = Waits::new(subject);
     let mut ticks = interval(Duration::from_secs_f64(1.0 / rate));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let changes = (seconds.as_secs_f64() * rate).ceil() as u64;
@@ -172,17 +197,17 @@
         if number % changes_per_rotation == 0 {
             waits.publish(vec![change]);
         } else {
-            cluster.prober.discovery.publish(vec![change]);
+            subject.prober.discovery.publish(vec![change]);
         }
     }
     waits.finish().await
 }
 
 /// Random upstreams restart: each drains, is gone, and is back, a list change each.
-async fn restart_upstreams(cluster: &HollowCluster, seconds: Duration, every: Duration) -> InForce {
-    let fleet = cluster.options().fleet;
-    let mut rng = Rand64::new(u128::from(cluster.options().seed));
-    let mut waits = Waits::new(cluster);
+async fn restart_upstreams(subject: &Subject, seconds: Duration, every: Duration) -> InForce {
+    let fleet = subject.fleet;
+    let mut rng = subject.random_upstreams();
+    let mut waits = Waits::new(subject);
     let (mut restarts, mut rotations) = (interval(every), interval(USUAL_ROTATION));
     let began = Instant::now();
     let mut restarting = Vec::new();
@@ -190,7 +215,7 @@
         tokio::select! {
             _ = restarts.tick() => {
                 let upstream = rng.rand_range(0..fleet.upstreams as u64) as usize;
-                let prober = Rc::clone(&cluster.prober);
+                let prober = Rc::clone(&subject.prober);
                 restarting.push(spawn_local(async move {
                     let discovery = &prober.discovery;
                     discovery.publish(vec![with_phase(&fleet, upstream, Phase::Draining)]);
@@ -210,9 +235,9 @@
 }
 
 /// A rack is lost and back, then the zone of that rack. Each of the four changes is measured.
-async fn lose_rack_and_zone(cluster: &HollowCluster) -> InForce {
-    let fleet = cluster.options().fleet;
-    let mut waits = Waits::new(cluster);
+async fn lose_rack_and_zone(subject: &Subject) -> InForce {
+    let fleet = subject.fleet;
+    let mut waits = Waits::new(subject);
     let in_rack = |upstream: &usize| fleet.rack_of(*upstream) == 0;
     let in_zone = |upstream: &usize| fleet.zone_of(*upstream) == 0;
     let rack: Vec<usize> = (0..fleet.upstreams).filter(in_rack).collect();
