Test several processes whose discovery fails while a zone is lost and back

What a scale run shows needs a check with real processes and a fault between them. Five processes of the daemon stand before the scale stand-in; discovery is unreachable, or silent, for 3 s, while a zone of 330 upstreams and the canary are removed and the zone returns. For as long as it fails every process serves by the list that it has; afterwards each comes to send to the new canary and none to the old one past its grace. The outage is shorter than the 6 s after which an untold change counts as told, so that no rule asks for a refusal meanwhile.

The stand-in now also notes what a new watch is sent first, else a change that came with it had no time of telling and its grace was not checked.

--- a/crates/hollow/src/discovery.rs
+++ b/crates/hollow/src/discovery.rs
@@ -175,7 +175,8 @@
     fn note_written(&self, from: u64, to: u64) {
         let now = Instant::now();
         let mut written = self.written();
-        for revision in from + 1..=to {
+        let oldest = to.saturating_sub(KEPT_CHANGES as u64);
+        for revision in from.max(oldest) + 1..=to {
             written.insert(revision, now);
         }
         while written.len() > KEPT_CHANGES {
@@ -374,6 +375,7 @@
             (list.since(from), list.revision)
         };
         self.write(&first).await?;
+        self.shared.note_written(from, sent);
         loop {
             tokio::select! {
                 biased;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod comeback;
 mod days;
 mod frozen;
+mod scale;
 
 use hollowpaddle_rehearsal::fleet::Fleet;
 use hollowpaddle_rehearsal::scripted::config;
