Start the harness's stand-ins through one kind of background thread

Discovery and the canaries each started a thread with a runtime, reported an address and ended on drop in their own copy of the same steps. `Background` has them once.

--- a/crates/hollow/src/canary.rs
+++ b/crates/hollow/src/canary.rs
@@ -4,15 +4,14 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use hollowpaddle_net::{Listener, Network, Tcp, accept};
 use hollowpaddle_rehearsal::wire::{Message, Side, Talk};
-use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::background::Background;
 use crate::fleet::{CANARY_SERVICE, ListEntry, Phase};
 
 /// Addresses that canaries use in turn. One is used again only after all others, long after the grace.
@@ -38,9 +37,8 @@
 /// The addresses of canary upstreams. They answer until this is dropped.
 pub struct Canaries {
     addresses: Vec<SocketAddr>,
-    requests: Arc<Mutex<Vec<Option<Instant>>>>,
-    stop: watch::Sender<bool>,
-    thread: Option<JoinHandle<()>>,
+    requests: Requests,
+    _thread: Background,
 }
 
 impl Canaries {
@@ -50,14 +48,9 @@
     /// There are no ports or no thread to be had.
     pub fn start() -> io::Result<Self> {
         let requests = Arc::new(Mutex::new(vec![None; SLOTS]));
-        let (stop, stopped) = watch::channel(false);
-        let (report, started) = std::sync::mpsc::channel();
         let seen = requests.clone();
-        let builder = std::thread::Builder::new().name("canaries".into());
-        let thread = builder.spawn(move || run(seen, stopped, report))?;
-        let ended = || io::Error::other("the canaries' thread ended before it listened");
-        let addresses = started.recv().map_err(|_| ended())??;
-        Ok(Self { addresses, requests, stop, thread: Some(thread) })
+        let (thread, addresses) = Background::start("canaries", move || listen(&seen))?;
+        Ok(Self { addresses, requests, _thread: thread })
     }
 
     /// The list entry of a canary.
@@ -89,41 +82,18 @@
     }
 }
 
-impl Drop for Canaries {
-    fn drop(&mut self) {
-        self.stop.send_replace(true);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
+/// When the last request came to each slot.
 type Requests = Arc<Mutex<Vec<Option<Instant>>>>;
 
-/// The thread's body: answers until it is told to stop.
-fn run(
-    requests: Requests,
-    mut stopped: watch::Receiver<bool>,
-    report: std::sync::mpsc::Sender<io::Result<Vec<SocketAddr>>>,
-) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(cause) => return drop(report.send(Err(cause))),
-    };
-    LocalSet::new().block_on(&runtime, async move {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listeners: io::Result<Vec<_>> = (0..SLOTS).map(|_| Tcp.listen(any)).collect();
-        let listeners = match listeners {
-            Ok(listeners) => listeners,
-            Err(cause) => return drop(report.send(Err(cause))),
-        };
-        let _ = report.send(Ok(listeners.iter().map(|l| l.local_addr()).collect()));
-        for (slot, listener) in listeners.into_iter().enumerate() {
-            spawn_local(accept_all(slot, listener, requests.clone()));
-        }
-        let _ = stopped.changed().await;
-    });
+/// Listens on a loopback port for each slot, and answers there as local tasks.
+fn listen(requests: &Requests) -> io::Result<Vec<SocketAddr>> {
+    let mut addresses = Vec::with_capacity(SLOTS);
+    for slot in 0..SLOTS {
+        let listener = Tcp.listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        addresses.push(listener.local_addr());
+        spawn_local(accept_all(slot, listener, requests.clone()));
+    }
+    Ok(addresses)
 }
 
 async fn accept_all(slot: usize, mut listener: Box<dyn Listener>, requests: Requests) {
--- a/crates/hollow/src/discovery.rs
+++ b/crates/hollow/src/discovery.rs
@@ -8,7 +8,6 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,9 +15,10 @@
 use hollowpaddle_rehearsal::wire::{Message, Side, Talk};
 use serde::Serialize;
 use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::background::Background;
 use crate::fleet::{ListEntry, Phase};
 
 /// While nothing changes, a watch is sent an empty line this often.
@@ -64,8 +64,7 @@
 pub struct Discovery {
     shared: Arc<Shared>,
     address: SocketAddr,
-    stop: watch::Sender<bool>,
-    thread: Option<JoinHandle<()>>,
+    _thread: Background,
 }
 
 impl Discovery {
@@ -75,15 +74,9 @@
     /// There is no port or no thread to be had.
     pub fn start(entries: Vec<ListEntry>) -> io::Result<Self> {
         let shared = Arc::new(Shared::new(entries));
-        let (stop, stopped) = watch::channel(false);
-        let (report, started) = std::sync::mpsc::channel();
         let serving = shared.clone();
-        let thread = std::thread::Builder::new().name("discovery".into()).spawn(move || {
-            run(serving, stopped, report);
-        })?;
-        let ended = || io::Error::other("the discovery thread ended before it listened");
-        let address = started.recv().map_err(|_| ended())??;
-        Ok(Self { shared, address, stop, thread: Some(thread) })
+        let (thread, address) = Background::start("discovery", move || listen(serving))?;
+        Ok(Self { shared, address, _thread: thread })
     }
 
     /// Where it listens.
@@ -116,15 +109,6 @@
     }
 }
 
-impl Drop for Discovery {
-    fn drop(&mut self) {
-        self.stop.send_replace(true);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
 #[derive(Default)]
 struct Counters {
     watches: AtomicU64,
@@ -285,28 +269,12 @@
     }
 }
 
-/// The thread's body: serves until it is told to stop.
-fn run(
-    shared: Arc<Shared>,
-    mut stopped: watch::Receiver<bool>,
-    report: std::sync::mpsc::Sender<io::Result<SocketAddr>>,
-) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(cause) => return drop(report.send(Err(cause))),
-    };
-    LocalSet::new().block_on(&runtime, async move {
-        let listener = match Tcp.listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))) {
-            Ok(listener) => listener,
-            Err(cause) => return drop(report.send(Err(cause))),
-        };
-        let _ = report.send(Ok(listener.local_addr()));
-        tokio::select! {
-            () = accept_all(shared, listener) => {}
-            _ = stopped.changed() => {}
-        }
-    });
+/// Listens on an ephemeral loopback port, and serves there as a local task.
+fn listen(shared: Arc<Shared>) -> io::Result<SocketAddr> {
+    let listener = Tcp.listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let address = listener.local_addr();
+    spawn_local(accept_all(shared, listener));
+    Ok(address)
 }
 
 async fn accept_all(shared: Arc<Shared>, mut listener: Box<dyn Listener>) {
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -11,6 +11,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod background;
 pub mod canary;
 pub mod cluster;
 pub mod discovery;
