--- a/crates/hollow/src/canary.rs
+++ b/crates/hollow/src/canary.rs
@@ -136,7 +136,11 @@
 
 /// Sends one request of the canary service to a balancer on a connection of its own. `id` must be new.
 pub async fn probe(balancer: SocketAddr, id: u64, expected: CanaryNumber) -> ProbeAnswer {
-    match tokio::time::timeout(PROBE_TIMEOUT, exchange(balancer, id)).await {
+    let request = format!(
+        "GET /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: probe-{id}\r\nX-Class: {CANARY_SERVICE}\r\n\
+         X-Tenant: t0\r\nX-Deadline-Ms: {PROBE_DEADLINE_MS}\r\nConnection: close\r\n\r\n"
+    );
+    match tokio::time::timeout(PROBE_TIMEOUT, exchange(balancer, &request)).await {
         Ok(Some(answer)) if answer.status() == 200 => {
             let served = Canaries::of_body(&answer.body, expected);
             served.map_or(ProbeAnswer::NoAnswer, ProbeAnswer::Served)
@@ -146,12 +150,15 @@
     }
 }
 
-async fn exchange(balancer: SocketAddr, id: u64) -> Option<Message> {
+/// Whether a balancer says that it can serve.
+pub async fn is_ready(balancer: SocketAddr) -> bool {
+    let request = "GET /-/ready HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n";
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, exchange(balancer, request)).await;
+    matches!(answer, Ok(Some(answer)) if answer.status() == 200)
+}
+
+async fn exchange(balancer: SocketAddr, request: &str) -> Option<Message> {
     let mut talk = Talk::new(Tcp.connect(balancer).await.ok()?);
-    let request = format!(
-        "GET /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: probe-{id}\r\nX-Class: {CANARY_SERVICE}\r\n\
-         X-Tenant: t0\r\nX-Deadline-Ms: {PROBE_DEADLINE_MS}\r\nConnection: close\r\n\r\n"
-    );
     talk.write(request.as_bytes()).await.ok()?;
     talk.message(Side::Answers).await.ok()
 }
--- a/crates/hollow/src/cluster.rs
+++ b/crates/hollow/src/cluster.rs
@@ -233,8 +233,7 @@
         addresses: &[SocketAddr],
         since: Instant,
     ) -> Result<InForce, HarnessError> {
-        let canary = self.prober.current();
-        let times = self.prober.wait_in_force(addresses, canary, since, START_LIMIT).await;
+        let times = self.prober.wait_ready(addresses, since, START_LIMIT).await;
         let missing = times.iter().filter(|time| time.is_none()).count();
         if missing > 0 {
             let balancers = self.options.fleet.balancers;
--- a/crates/hollow/src/prober.rs
+++ b/crates/hollow/src/prober.rs
@@ -11,7 +11,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
-use crate::canary::{Canaries, CanaryNumber, ProbeAnswer, probe};
+use crate::canary::{Canaries, CanaryNumber, ProbeAnswer, is_ready, probe};
 use crate::discovery::Discovery;
 use crate::fleet::{DRAIN_GRACE_MS, ListEntry, Phase};
 
@@ -107,12 +107,29 @@
         let wait = |balancer: &SocketAddr| {
             spawn_local(self.clone().wait_at(*balancer, canary, since, limit))
         };
-        let waits: Vec<JoinHandle<Option<Duration>>> = balancers.iter().map(wait).collect();
-        let mut times = Vec::with_capacity(waits.len());
-        for wait in waits {
-            times.push(wait.await.unwrap_or(None));
-        }
-        times
+        join(balancers.iter().map(wait).collect()).await
+    }
+
+    /// Waits until every balancer is ready and sends to the canary that is listed, or until `limit` after
+    /// `since`.
+    ///
+    /// Readiness is asked for first: a request to a balancer without a list would wait for its deadline, and hold
+    /// up the probes of others.
+    pub async fn wait_ready(
+        self: &Rc<Self>,
+        balancers: &[SocketAddr],
+        since: Instant,
+        limit: Duration,
+    ) -> InForce {
+        let canary = self.current.get();
+        let wait = |balancer: &SocketAddr| {
+            let (prober, balancer) = (self.clone(), *balancer);
+            spawn_local(async move {
+                wait_until_ready(balancer, since, limit).await;
+                prober.wait_at(balancer, canary, since, limit).await
+            })
+        };
+        join(balancers.iter().map(wait).collect()).await
     }
 
     /// Requests that came to a canary later than the grace after the last watch was told of its removal.
@@ -166,3 +183,20 @@
         });
     }
 }
+
+async fn join(waits: Vec<JoinHandle<Option<Duration>>>) -> InForce {
+    let mut times = Vec::with_capacity(waits.len());
+    for wait in waits {
+        times.push(wait.await.unwrap_or(None));
+    }
+    times
+}
+
+/// Asks a balancer until it says that it is ready, or until `limit` after `since`.
+async fn wait_until_ready(balancer: SocketAddr, since: Instant, limit: Duration) {
+    let mut retry = FIRST_RETRY;
+    while since.elapsed() < limit && !is_ready(balancer).await {
+        sleep(retry).await;
+        retry = (retry * 2).min(LONGEST_RETRY);
+    }
+}
--- a/crates/hollow/src/processes.rs
+++ b/crates/hollow/src/processes.rs
@@ -105,9 +105,8 @@
             nodes.push(Node::start_as(command, &name, listen, unused.clone(), &config));
         }
         let cluster = Self { fleet, seed, prober, nodes };
-        let canary = cluster.prober.current();
         let addresses = cluster.addresses();
-        let times = cluster.prober.wait_in_force(&addresses, canary, since, START_LIMIT).await;
+        let times = cluster.prober.wait_ready(&addresses, since, START_LIMIT).await;
         let missing = times.iter().filter(|time| time.is_none()).count();
         if missing > 0 {
             let balancers = fleet.balancers;
