--- a/crates/hollow/src/measure/process.rs
+++ b/crates/hollow/src/measure/process.rs
@@ -8,14 +8,7 @@
 use tempfile::TempDir;
 
 use super::MeasureError;
-
-/// Length of one clock tick of `/proc/PID/stat` (proc(5): 100 a second on all of Linux).
-const TICK: Duration = Duration::from_millis(10);
-
-/// Fields of `/proc/PID/stat` after the program's name: `utime` and `stime` (proc(5), fields 14 and 15).
-const UTIME: usize = 11;
-/// See [`UTIME`].
-const STIME: usize = 12;
+use crate::usage;
 
 /// Lines of the daemon's log that an error shows.
 const LAST_LINES: usize = 8;
@@ -27,7 +20,7 @@
     pub resident_kib: u64,
     /// Highest resident memory so far in KiB (`VmHWM`).
     pub resident_peak_kib: u64,
-    /// Processor time so far, of all threads, to [`TICK`].
+    /// Processor time so far, of all present threads.
     pub cpu: Duration,
     /// Open descriptors.
     pub descriptors: u64,
@@ -84,14 +77,14 @@
 
     /// What the kernel tells of it now.
     pub(super) fn usage(&self) -> Result<Usage, MeasureError> {
-        let directory = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let directory = usage::process(self.child.id());
         let status = read(&directory.join("status"))?;
         let memory = |name| kib_of(&status, name).ok_or_else(|| lacks(&directory, name));
         Ok(Usage {
             resident_kib: memory("VmRSS:")?,
             resident_peak_kib: memory("VmHWM:")?,
-            cpu: cpu_of(&read(&directory.join("stat"))?)
-                .ok_or_else(|| lacks(&directory, "utime and stime"))?,
+            cpu: usage::process_processor_time(&directory)
+                .map_err(|cause| unreadable(&directory, &cause))?,
             descriptors: count(&directory.join("fd"))?,
         })
     }
@@ -129,14 +122,6 @@
     value.split_whitespace().next()?.parse().ok()
 }
 
-/// Processor time from `/proc/PID/stat`. The program's name stands in parentheses and may hold any character.
-fn cpu_of(stat: &str) -> Option<Duration> {
-    let (_, behind_name) = stat.rsplit_once(')')?;
-    let fields: Vec<&str> = behind_name.split_whitespace().collect();
-    let ticks = |at: usize| fields.get(at)?.parse::<u32>().ok();
-    Some(TICK * (ticks(UTIME)? + ticks(STIME)?))
-}
-
 #[cfg(test)]
 #[path = "process_tests.rs"]
 mod tests;
--- a/crates/hollow/src/measure/process_tests.rs
+++ b/crates/hollow/src/measure/process_tests.rs
@@ -1,8 +1,6 @@
 //! What is read from the kernel's text.
 
-use std::time::Duration;
-
-use super::{cpu_of, kib_of};
+use super::kib_of;
 
 #[test]
 fn reads_memory_of_a_status_file() {
@@ -11,10 +9,3 @@
     assert_eq!(kib_of(status, "VmHWM:"), Some(45_100));
     assert_eq!(kib_of(status, "VmSwap:"), None);
 }
-
-#[test]
-fn reads_processor_time_behind_a_name_with_parentheses() {
-    let stat = "7 (a) b (c)) S 1 7 7 0 -1 4194304 100 0 0 0 25 17 0 0 20 0 1 0 99 1000 200";
-    assert_eq!(cpu_of(stat), Some(Duration::from_millis(420)));
-    assert_eq!(cpu_of("7 (short) S 1"), None);
-}
--- a/crates/hollow/src/measure/upstreams.rs
+++ b/crates/hollow/src/measure/upstreams.rs
@@ -4,16 +4,15 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use hollowpaddle_net::{Listener, Network, Stream, Tcp, accept};
 use hollowpaddle_rehearsal::wire::{Side, Talk};
-use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::background::Background;
+
 /// Pause after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -23,23 +22,16 @@
 pub(super) struct StandInUpstreams {
     addresses: Vec<SocketAddr>,
     connections: Arc<AtomicU64>,
-    stop: watch::Sender<bool>,
-    thread: Option<JoinHandle<()>>,
+    _thread: Background,
 }
 
 impl StandInUpstreams {
     /// Starts so many, each at a loopback port of its own.
     pub(super) fn start(count: usize) -> io::Result<Self> {
-        let (stop, stopped) = watch::channel(false);
-        let (report, started) = mpsc::channel();
         let connections = Arc::new(AtomicU64::new(0));
         let accepted = connections.clone();
-        let thread = std::thread::Builder::new().name("upstreams".into()).spawn(move || {
-            run(count, &accepted, stopped, &report);
-        })?;
-        let ended = || io::Error::other("the upstreams' thread ended before it listened");
-        let addresses = started.recv().map_err(|_| ended())??;
-        Ok(Self { addresses, connections, stop, thread: Some(thread) })
+        let (thread, addresses) = Background::start("upstreams", move || listen(count, &accepted))?;
+        Ok(Self { addresses, connections, _thread: thread })
     }
 
     /// Where each listens.
@@ -53,40 +45,16 @@
     }
 }
 
-impl Drop for StandInUpstreams {
-    fn drop(&mut self) {
-        self.stop.send_replace(true);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+/// Begins to serve at so many ports, and returns their addresses.
+fn listen(count: usize, connections: &Arc<AtomicU64>) -> io::Result<Vec<SocketAddr>> {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let mut addresses = Vec::with_capacity(count);
+    for _ in 0..count {
+        let listener = Tcp.listen(loopback)?;
+        addresses.push(listener.local_addr());
+        spawn_local(accept_all(listener, connections.clone()));
     }
-}
-
-/// The thread's body: serves until it is told to stop.
-fn run(
-    count: usize,
-    connections: &Arc<AtomicU64>,
-    mut stopped: watch::Receiver<bool>,
-    report: &mpsc::Sender<io::Result<Vec<SocketAddr>>>,
-) {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(cause) => return drop(report.send(Err(cause))),
-    };
-    LocalSet::new().block_on(&runtime, async move {
-        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listeners: io::Result<Vec<_>> = (0..count).map(|_| Tcp.listen(loopback)).collect();
-        let listeners = match listeners {
-            Ok(listeners) => listeners,
-            Err(cause) => return drop(report.send(Err(cause))),
-        };
-        let addresses = listeners.iter().map(|listener| listener.local_addr()).collect();
-        for listener in listeners {
-            spawn_local(accept_all(listener, connections.clone()));
-        }
-        let _ = report.send(Ok(addresses));
-        let _ = stopped.changed().await;
-    });
+    Ok(addresses)
 }
 
 async fn accept_all(mut listener: Box<dyn Listener>, connections: Arc<AtomicU64>) {
