--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod crowded;
 mod days;
 mod frozen;
+mod scale;
 
 use hollowpaddle_rehearsal::fleet::Fleet;
 use hollowpaddle_rehearsal::scripted::config;
