Let the harness be run with fewer services than the planned deployment has

Before 7,651 upstreams (256 services and the canary) a hollow balancer is ready and refuses every request of the canary's class: 25 balancers with 10,000 and 4 with 20,000 upstreams served nobody within 60 s, 7,600 upstreams were served. The module counts every machine type beyond number 255 as number 255 (`m.kind.min(255)` where it takes in a list entry), so a class bound to a later one is bound to nobody. That is a fault of the daemon at the planned 1,300 services and is not mended here. Memory and bytes of longer lists can be measured with `--services` meanwhile; the default stays one service for 30 upstreams, and the canary keeps the last machine type, so that the fault stays in sight.

--- a/crates/hollow/src/bin/hollow.rs
+++ b/crates/hollow/src/bin/hollow.rs
@@ -68,6 +68,9 @@
     /// Upstreams in the list.
     #[arg(long, default_value_t = 2_000)]
     upstreams: usize,
+    /// Services; by default one for every 30 upstreams, as in the planned deployment.
+    #[arg(long)]
+    services: Option<usize>,
     /// Seconds to measure.
     #[arg(long, default_value_t = 20.0)]
     seconds: f64,
@@ -98,8 +101,10 @@
 
     fn options(&self) -> Options {
         let least = self.subset_least;
+        let fleet = Fleet::of(self.balancers, self.upstreams);
+        let services = self.services.unwrap_or(fleet.services).max(1);
         Options {
-            fleet: Fleet::of(self.balancers, self.upstreams),
+            fleet: Fleet { services, ..fleet },
             seed: self.seed,
             threads: self.threads,
             subset: self.subset.map(|times| SubsetConfig { times, least }),
--- a/crates/hollow/src/fleet.rs
+++ b/crates/hollow/src/fleet.rs
@@ -84,9 +84,9 @@
         upstream % self.zones
     }
 
-    /// The service of an upstream.
+    /// The service of an upstream: runs of [`UPSTREAMS_PER_SERVICE`] go to the services in turn.
     pub fn service_of(&self, upstream: usize) -> usize {
-        (upstream / UPSTREAMS_PER_SERVICE).min(self.services - 1)
+        upstream / UPSTREAMS_PER_SERVICE % self.services
     }
 
     /// The rack of an upstream; a rack lies in one zone.
