Start hollow balancers that talk to each other all at once

With 100 balancers and peers the first batch of 25 served nobody within 60 s: its members had no leader while most voters did not run yet, and the next batch waits for this one. The package's eleven tests pass.

--- a/crates/hollow/src/cluster.rs
+++ b/crates/hollow/src/cluster.rs
@@ -19,7 +19,7 @@
 const DESCRIPTORS_PER_BALANCER: usize = 8;
 /// Descriptors of the harness itself: the canaries' listeners, event queues, standard streams.
 const HARNESS_DESCRIPTORS: usize = 256;
-/// Balancers that are started together at first, so that a fleet that does not fit into memory is noticed
+/// Balancers without peers that are started together at first, so that a fleet that does not fit into memory is noticed
 /// before it takes all of it.
 const START_BATCH: usize = 25;
 /// Longest wait for a balancer's first answer after its start.
@@ -135,16 +135,18 @@
         Ok(Self { options, prober, workers, meters, addresses, peers, baseline })
     }
 
-    /// Starts all balancers, a batch at a time, and waits until each serves: how long each took.
+    /// Starts all balancers, a batch at a time unless they talk to each other, and waits until each serves: how long each took.
     ///
     /// # Errors
     /// They don't fit, or don't serve in time.
     pub async fn start(&self) -> Result<InForce, HarnessError> {
         let balancers = self.options.fleet.balancers;
+        // Balancers that talk elect a leader first, for which most voters must run.
+        let batch_size = if self.options.peers { balancers } else { START_BATCH };
         let mut times = Vec::with_capacity(balancers);
-        for first in (0..balancers).step_by(START_BATCH) {
+        for first in (0..balancers).step_by(batch_size) {
             let since = Instant::now();
-            for position in first..(first + START_BATCH).min(balancers) {
+            for position in first..(first + batch_size).min(balancers) {
                 let address = self.start_balancer(position).await?;
                 self.addresses.borrow_mut().push(address);
             }
