--- a/crates/order/src/alarms.rs
+++ b/crates/order/src/timers.rs
@@ -5,13 +5,13 @@
 
 /// One pending time a slot, the earliest that was asked for; times are whatever the caller counts in.
 #[derive(Clone, Debug, Default)]
-pub struct Alarms {
+pub struct Timers {
     heap: BinaryHeap<Reverse<(i64, usize)>>,
     /// The pending time of each slot; `i64::MAX` for none.
     pending: Vec<i64>,
 }
 
-impl Alarms {
+impl Timers {
     /// Asks for a slot to be looked at by `at`. Where an earlier time is pending already, that one stays: who is
     /// looked at too early asks again.
     pub fn set(&mut self, slot: usize, at: i64) {
--- a/crates/order/tests/models.rs
+++ b/crates/order/tests/models.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use hollowpaddle_order::alarms::Alarms;
 use hollowpaddle_order::ring::{Place, Ring};
+use hollowpaddle_order::timers::Timers;
 use hollowpaddle_order::total::Total;
 use hollowpaddle_order::waiting::Waiting;
 use hollowpaddle_order::winners::{Key, Winners};
@@ -45,11 +45,11 @@
     }
 
     #[test]
-    fn alarms_ring_no_later_than_asked_and_once(
+    fn timers_fire_no_later_than_asked_and_once(
         asked in prop::collection::vec((0..20usize, 0..100i64), 1..100),
         steps in prop::collection::vec(1..20i64, 1..20),
     ) {
-        let (mut kept, mut plain) = (Alarms::default(), BTreeMap::<usize, i64>::new());
+        let (mut kept, mut plain) = (Timers::default(), BTreeMap::<usize, i64>::new());
         for (slot, at) in asked {
             kept.set(slot, at);
             let first = plain.entry(slot).or_insert(at);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -460,7 +460,7 @@
             }
             let shut = s.by_class.shut(now).map(|b| b.breaker.until);
             if let Some(at) = next.into_iter().chain(shut).filter(|t| now < *t).min() {
-                self.up.alarms.set(server, at.0);
+                self.up.timers.set(server, at.0);
             }
         }
         let standing = Standing { key, warm: live && cold.is_none(), spotted };
@@ -1123,7 +1123,7 @@
             self.start(now, out);
         }
         for _ in 0..self.slice() {
-            let Some(server) = self.up.alarms.due(now.0) else { break };
+            let Some(server) = self.up.timers.due(now.0) else { break };
             self.touch(now, server);
         }
         self.queue.rested(now);
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -5,8 +5,8 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-use hollowpaddle_order::alarms::Alarms;
 use hollowpaddle_order::ring::{Place, Ring};
+use hollowpaddle_order::timers::Timers;
 use hollowpaddle_order::winners::Key;
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -121,7 +121,7 @@
     shut: FxHashMap<u32, ShutClass>,
     pub(crate) kinds: MachineTypes,
     /// When one that rests is to be looked at again.
-    pub(crate) alarms: Alarms,
+    pub(crate) timers: Timers,
 }
 
 impl Upstreams {
@@ -137,7 +137,7 @@
             rooms: Rooms::new(&settings),
             shut: FxHashMap::default(),
             kinds: MachineTypes::new(&settings),
-            alarms: Alarms::default(),
+            timers: Timers::default(),
             sharers: f64::from(settings.balancers),
             settings,
         }
