--- a/crates/order/src/winners.rs
+++ b/crates/order/src/tournament.rs
@@ -23,7 +23,7 @@
 /// Slots with keys, and which of them has the least. Changing a key costs O(log n), asking for the least O(1), where n
 /// is the most slots that took part at once. Slots that take no part use no memory, however high their numbers.
 #[derive(Clone, Debug, Default)]
-pub struct Winners {
+pub struct TournamentTree {
     /// Key and slot of each leaf; a vacant leaf has [`Key::OUT`].
     keys: Vec<Key>,
     slots: Vec<u32>,
@@ -38,7 +38,7 @@
 /// A tree of more leaves than this gives its memory back when the last slot leaves it.
 const KEPT_LEAVES: usize = 64;
 
-impl Winners {
+impl TournamentTree {
     /// The key of a slot.
     pub fn get(&self, slot: usize) -> Key {
         self.leaf(slot).map_or(Key::OUT, |leaf| self.keys[leaf as usize])
--- a/crates/order/tests/models.rs
+++ b/crates/order/tests/models.rs
@@ -5,8 +5,8 @@
 use hollowpaddle_order::ring::{Place, Ring};
 use hollowpaddle_order::timers::Timers;
 use hollowpaddle_order::total::Total;
+use hollowpaddle_order::tournament::{Key, TournamentTree};
 use hollowpaddle_order::waiting::Waiting;
-use hollowpaddle_order::winners::{Key, Winners};
 use proptest::prelude::*;
 
 fn key() -> impl Strategy<Value = Key> {
@@ -18,11 +18,11 @@
 
 proptest! {
     #[test]
-    fn winners_know_the_least_key(
+    fn a_tournament_tree_knows_the_least_key(
         sets in prop::collection::vec((0..70usize, key()), 1..200),
         without in prop::collection::vec(0..70usize, 0..4),
     ) {
-        let (mut kept, mut plain) = (Winners::default(), BTreeMap::new());
+        let (mut kept, mut plain) = (TournamentTree::default(), BTreeMap::new());
         for (slot, key) in sets {
             kept.set(slot, key);
             plain.insert(slot, key);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use hollowpaddle_order::winners::Key;
+use hollowpaddle_order::tournament::Key;
 use oorandom::Rand64;
 
 use crate::asking::Asking;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -4,8 +4,8 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
+use hollowpaddle_order::tournament::{Key, TournamentTree};
 use hollowpaddle_order::waiting::{Turn, Waiting};
-use hollowpaddle_order::winners::{Key, Winners};
 use rustc_hash::FxHashMap;
 
 use crate::interface::*;
@@ -272,7 +272,7 @@
     /// By class.
     young: Vec<Young>,
     /// Which class has attempts that are due next.
-    due: Winners,
+    due: TournamentTree,
     /// Those that may be due, all classes in the order of sending: what this round has not looked at, and behind it
     /// what it has kept.
     ripe: VecDeque<Watched>,
@@ -289,7 +289,7 @@
         let young = |patience| Young { attempts: VecDeque::new(), patience };
         Self {
             young: patience.map(young).collect(),
-            due: Winners::default(),
+            due: TournamentTree::default(),
             ripe: VecDeque::new(),
             fresh: Vec::new(),
             sent: 0,
--- a/crates/policy/src/rooms.rs
+++ b/crates/policy/src/rooms.rs
@@ -3,7 +3,7 @@
 
 use std::hint::black_box;
 
-use hollowpaddle_order::winners::{Key, Winners};
+use hollowpaddle_order::tournament::{Key, TournamentTree};
 use rustc_hash::FxHashMap;
 
 use crate::interface::{Class, Settings};
@@ -17,9 +17,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Trees {
     /// Those that are open to all classes.
-    pub(crate) clear: Winners,
+    pub(crate) clear: TournamentTree,
     /// Those that are shut to some class.
-    pub(crate) spotted: Winners,
+    pub(crate) spotted: TournamentTree,
 }
 
 /// One value for each area that has upstreams; there are few. An area is a zone where keys bind some class to it, else
@@ -270,7 +270,7 @@
     /// So much of its room is shut that it is open all the same.
     pub(crate) is_panicking: bool,
     /// Those of the spotted ones with a free slot that are open to it.
-    pub(crate) open: ByArea<Winners>,
+    pub(crate) open: ByArea<TournamentTree>,
 }
 
 impl ShutClass {
--- a/crates/policy/src/upstreams.rs
+++ b/crates/policy/src/upstreams.rs
@@ -7,7 +7,7 @@
 
 use hollowpaddle_order::ring::{Place, Ring};
 use hollowpaddle_order::timers::Timers;
-use hollowpaddle_order::winners::Key;
+use hollowpaddle_order::tournament::Key;
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::breakers::ClassBreakers;
