Test machine types beyond 255, and lists with nonsense for types and zones

Need: a class bound to machine type 255 or later found no upstream before, and tables were indexed by whatever number a list named for a zone.

--- /dev/null
+++ b/crates/policy/tests/machine_types.rs
@@ -0,0 +1,43 @@
+//! Classes bound to machine types with high numbers.
+
+use hollowpaddle_policy::interface::*;
+use hollowpaddle_policy::policy::Balancer;
+
+/// Where a request of this class is sent, before one upstream of each machine type.
+fn sent_to(class: usize, bound_to: &[u32], listed: &[u32]) -> Option<ServerId> {
+    let bound = |kind: &u32| Class {
+        kinds: Some(vec![*kind]),
+        ..Class::safe(Span(200_000), Span(1_000_000))
+    };
+    let settings = Settings::basic(bound_to.iter().map(bound).collect());
+    let mut module = Balancer::new(settings, 1, Time(0)).expect("sound settings");
+    let member =
+        |(i, kind): (usize, &u32)| Member { kind: *kind, ..Member::live(ServerId(i as u32)) };
+    let list: Vec<Member> = listed.iter().enumerate().map(member).collect();
+    let mut out = Vec::new();
+    module.handle(Time(0), Event::Members { kind: ListKind::Restored, list: &list }, &mut out);
+    let request = Request::new(RequestId(1), class, Time(1_000_000));
+    module.handle(Time(1000), Event::Request(request), &mut out);
+    out.iter().find_map(|action| match action {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_class_is_sent_to_its_machine_type_also_beyond_255() {
+    // Failure: machine types were cut at 255, and a class that was bound to a later one found no upstream.
+    let kinds: Vec<u32> = (0..1300).collect();
+    for class in [0, 254, 255, 256, 433, 1299] {
+        assert_eq!(sent_to(class, &kinds, &kinds), Some(ServerId(class as u32)), "class {class}");
+    }
+}
+
+#[test]
+fn machine_types_that_share_figures_still_differ_as_bounds() {
+    // Both are beyond what has figures of its own.
+    let kinds = [u32::MAX, u32::MAX - 1];
+    assert_eq!(sent_to(0, &kinds, &kinds), Some(ServerId(0)));
+    assert_eq!(sent_to(1, &kinds, &kinds), Some(ServerId(1)));
+    assert_eq!(sent_to(0, &kinds, &kinds[1..]), None);
+}
--- a/crates/policy/tests/slopes.rs
+++ b/crates/policy/tests/slopes.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use allocation::{Counting, bytes_in_use};
-use hollowpaddle_policy::interface::{Outcome, Span};
+use hollowpaddle_policy::interface::*;
+use hollowpaddle_policy::policy::Balancer;
 use hollowpaddle_policy::tenants::Tenants;
 use serde_json::json;
 use service_fleet::{CLASSES_IN_USE, Cost, ServiceFleet, settings};
@@ -24,6 +25,8 @@
 const BYTES_PER_IDLE_TENANT: usize = 17;
 /// One more tenant in the table of names, beside its name, where few distinct quotas are in use.
 const BYTES_BESIDE_NAME: usize = 13;
+/// One upstream of a machine type and zone that nobody named, beside its like, in a list of nonsense.
+const BYTES_PER_ODD_UPSTREAM: usize = 1200;
 /// What may be left once all upstreams have answered again, as a share of what faults added: timers and queues keep the
 /// capacity that they grew to.
 const LEFT_AFTER_FAULTS: f64 = 0.5;
@@ -113,6 +116,31 @@
     assert_eq!(copy.position("tenant-099999"), Some(99_999));
 }
 
+#[test]
+fn machine_types_and_zones_that_nobody_named_grow_no_table_beyond_the_upstreams() {
+    const UPSTREAMS: u32 = 5000;
+    let _alone = alone();
+    let mut settings = settings(3, 0);
+    // Trees are kept by zone then, and one class goes to all of them.
+    settings.classes[0].group = Group::Zone;
+    settings.classes[0].kinds = None;
+    let before = bytes_in_use();
+    let mut module = Balancer::new(settings, 1, Time(0)).expect("sound settings");
+    let odd = |i: u32| Member {
+        kind: u32::MAX - i * 800_000,
+        zone: u32::MAX - i * 700_000,
+        cell: i,
+        ..Member::live(ServerId(i))
+    };
+    let list: Vec<Member> = (0..UPSTREAMS).map(odd).collect();
+    let held = std::mem::size_of_val(&list[..]);
+    let mut out = Vec::new();
+    module.handle(Time(0), Event::Members { kind: ListKind::Restored, list: &list }, &mut out);
+    let each = (bytes_in_use() - before - held) / UPSTREAMS as usize;
+    println!("{each} bytes");
+    assert!(each <= BYTES_PER_ODD_UPSTREAM, "{each} bytes");
+}
+
 #[test]
 fn class_breakers_are_dropped_once_upstreams_answer_again() {
     let _alone = alone();
