--- a/crates/order/tests/models.rs
+++ b/crates/order/tests/models.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use hollowpaddle_order::alarms::Alarms;
 use hollowpaddle_order::ring::{Place, Ring};
+use hollowpaddle_order::timers::Timers;
 use hollowpaddle_order::total::Total;
+use hollowpaddle_order::tournament::{Key, TournamentTree};
 use hollowpaddle_order::waiting::Waiting;
-use hollowpaddle_order::winners::{Key, Winners};
 use proptest::prelude::*;
 
 fn key() -> impl Strategy<Value = Key> {
@@ -18,11 +18,11 @@
 
 proptest! {
     #[test]
-    fn winners_know_the_least_key(
+    fn a_tournament_tree_knows_the_least_key(
         sets in prop::collection::vec((0..70usize, key()), 1..200),
         without in prop::collection::vec(0..70usize, 0..4),
     ) {
-        let (mut kept, mut plain) = (Winners::default(), BTreeMap::new());
+        let (mut kept, mut plain) = (TournamentTree::default(), BTreeMap::new());
         for (slot, key) in sets {
             kept.set(slot, key);
             plain.insert(slot, key);
@@ -45,11 +45,11 @@
     }
 
     #[test]
-    fn alarms_ring_no_later_than_asked_and_once(
+    fn timers_fire_no_later_than_asked_and_once(
         asked in prop::collection::vec((0..20usize, 0..100i64), 1..100),
         steps in prop::collection::vec(1..20i64, 1..20),
     ) {
-        let (mut kept, mut plain) = (Alarms::default(), BTreeMap::<usize, i64>::new());
+        let (mut kept, mut plain) = (Timers::default(), BTreeMap::<usize, i64>::new());
         for (slot, at) in asked {
             kept.set(slot, at);
             let first = plain.entry(slot).or_insert(at);
