--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -68,16 +68,20 @@
     let start = &told["start"];
     let aside = start["set_aside"].as_array().is_some_and(|a| !a.is_empty());
     let kept = start["way"] == "usual" && !aside && told["saving"]["failing"].is_null();
-    (told["keeps"] == false || kept) && told["said"]["doubted"].is_null()
+    let is_sound = told["said"]["doubted"].is_null() && told["list_expired"] != true;
+    (told["keeps"] == false || kept) && is_sound
 }
 
 fn text(told: &Value) -> String {
     let mut said = String::new();
+    if told["list_expired"] == true {
+        said += "LIST EXPIRED: discovery turns calls away; requests are refused until it tells a list\n";
+    }
     if let Some(doubt) = told["said"]["doubted"].as_str() {
         let cordoned = told["said"]["cordoned"].as_array().into_iter().flatten();
         let names: Vec<&str> = cordoned.filter_map(Value::as_str).collect();
         let names = if names.is_empty() { "nothing".to_string() } else { names.join(", ") };
-        said = format!("CORDONS IN DOUBT: {doubt}\n  cordoned now: {names}\n");
+        said += &format!("CORDONS IN DOUBT: {doubt}\n  cordoned now: {names}\n");
         said += "  cordon what is missing, uncordon what is back, then POST /admin/confirm\n";
     }
     if told["keeps"] == false {
@@ -126,4 +130,12 @@
             assert!(shown.contains("cordoned now: s-1, s-2"), "{shown}");
         }
     }
+
+    #[test]
+    fn an_expired_list_is_shown_and_is_not_usual() {
+        let mut told = json!({"keeps": false, "list_expired": false});
+        assert!(is_usual(&told) && !text(&told).contains("EXPIRED"), "{told}");
+        told["list_expired"] = true.into();
+        assert!(!is_usual(&told) && text(&told).contains("LIST EXPIRED"), "{}", text(&told));
+    }
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -25,7 +25,7 @@
 use crate::bank::{Held as Rules, Listed, News as BankNews, Rulebook};
 use crate::config::Config;
 use crate::discovery::{self, Ending, News, Patience};
-use crate::freshness::Freshness;
+use crate::freshness::{Expiry, Freshness};
 use crate::members::{List, Phase};
 use crate::membership::{Membership, Part};
 use crate::relay::AnswerBody;
@@ -144,6 +144,7 @@
     next: Cell<u64>,
     ready: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
+    list_expiry: Expiry,
 }
 
 /// The engine as operators reach it.
@@ -151,6 +152,7 @@
     notes: mpsc::UnboundedSender<Note>,
     ready: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
+    list_expiry: Expiry,
 }
 
 impl Door {
@@ -164,6 +166,11 @@
         self.heard.get()
     }
 
+    /// Whether the list is too old to be acted on.
+    pub fn is_list_expired(&self) -> bool {
+        self.list_expiry.is_over(Instant::now())
+    }
+
     /// Whether a list has named this upstream.
     pub async fn has_named(&self, name: String) -> bool {
         let (reply, answer) = oneshot::channel();
@@ -202,7 +209,12 @@
 impl Handle {
     /// The engine as operators reach it.
     pub fn door(&self) -> Door {
-        Door { notes: self.notes.clone(), ready: self.ready.clone(), heard: self.heard.clone() }
+        Door {
+            notes: self.notes.clone(),
+            ready: self.ready.clone(),
+            heard: self.heard.clone(),
+            list_expiry: self.list_expiry.clone(),
+        }
     }
 
     /// Whether there is anywhere to send to.
@@ -400,15 +412,17 @@
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
         let heard = Rc::new(Cell::new(false));
+        let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
+        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
+        let sends_end_after = grace.saturating_sub(DRAIN_MARGIN);
+        let freshness = Freshness::new(sends_end_after, Instant::now());
         let handle = Handle {
             notes: own_notes.clone(),
             next: Cell::new(0),
             ready: ready.clone(),
             heard: heard.clone(),
+            list_expiry: freshness.expiry(),
         };
-        let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
-        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
-        let sends_end_after = grace.saturating_sub(DRAIN_MARGIN);
         let max_attempts = settings.limits.max_attempts;
         let size = Bank { balancers: settings.balancers, position: settings.position };
         let subset = config.subset.map(|of| Subsetting::new(of, size)).transpose()?;
@@ -436,7 +450,7 @@
             counted_from: 0,
             elsewhere: false,
             must_ask,
-            freshness: Freshness::new(sends_end_after, Instant::now()),
+            freshness,
             list_expired: false,
             patience: Patience::default(),
             second_copies,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -82,7 +82,9 @@
     }
     fn start(&self) -> serde_json::Value {
         let nothing = || serde_json::json!({"ok": true, "keeps": false});
-        self.keeper.as_ref().map_or_else(nothing, |k| k.told())
+        let mut start = self.keeper.as_ref().map_or_else(nothing, |k| k.told());
+        start["list_expired"] = self.engine.is_list_expired().into();
+        start
     }
     fn copied(&self) -> Copied {
         self.keeper.as_ref().map_or(Copied::Nothing, |k| k.copied())
--- a/tests/fleet/crowded.rs
+++ b/tests/fleet/crowded.rs
@@ -131,6 +131,7 @@
         config["discovery"] = discovery.to_string().into();
         config["settings"]["Balancers"] = count.into();
         config["settings"]["Position"] = position.into();
+        config["control"] = "127.0.0.1:0".into();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let unused = Rc::new(Discovery::start());
         Node::start_as(Command::new(NODE), &format!("n{position}"), any, unused, &config)
@@ -143,6 +144,14 @@
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
 }
 
+/// What its admin API says of the age of its list.
+fn is_list_expired(node: &Node) -> bool {
+    let mut operator = Client::to(node.operators.expect("an admin API"));
+    let answer = operator.ask("GET /admin/start HTTP/1.1\r\nHost: a\r\n\r\n");
+    let told: Value = serde_json::from_slice(&answer.body).expect("JSON");
+    told["list_expired"].as_bool().expect("it is said")
+}
+
 fn status_of_ready(node: &Node) -> u16 {
     node.client().ask("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").status()
 }
@@ -174,6 +183,7 @@
         assert_eq!(client.ask(&read("late", 1000)).status(), 503);
         assert!(asked.elapsed() < SLACK, "refused after {:?}", asked.elapsed());
         assert_eq!(status_of_ready(node), 503);
+        assert!(is_list_expired(node));
     }
     assert_eq!(goes.requests_so_far(), 0, "a request went there past the grace");
     // Who can't reach discovery at all goes on with what it knows.
@@ -183,6 +193,7 @@
     }
     assert!(goes.requests_so_far() > 0, "the one that is cut off knows both");
     assert_eq!(status_of_ready(&cut_off[0]), 200);
+    assert!(!is_list_expired(&cut_off[0]));
     // Once discovery serves, all are back, and by the new list.
     let turn = Duration::from_millis(20);
     discovery.with(|state| state.service = Service::InTurn { turn, most_waiting: 10 });
@@ -198,7 +209,7 @@
         assert_eq!(clients[index].ask(&read(&format!("a{n}"), 1000)).status(), 200);
     }
     assert_eq!(goes.requests_so_far(), 0, "it is on no list any more");
-    assert!(refused.iter().all(|node| status_of_ready(node) == 200));
+    assert!(refused.iter().all(|node| status_of_ready(node) == 200 && !is_list_expired(node)));
 }
 
 #[test]
