--- a/crates/policy/src/machine_types.rs
+++ b/crates/policy/src/machine_types.rs
@@ -121,6 +121,10 @@
     }
 
     /// Decays counts and peaks, and takes in what was served since.
+    ///
+    /// The weight decays as the counts do. Failure: as upstreams went one after another, the last ones seemed to have
+    /// served what all had. A rate is a peak that decays. Failure: when the warm ones slowed, the young, who did not, were
+    /// held back with them.
     pub(crate) fn refresh(&mut self, decay: Decay) {
         let mut is_past_changed = false;
         let mut served = 0.0;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1037,8 +1037,6 @@
         self.fleet.paced = self.fleet.ts;
         let window = self.settings.rules.tip_after.f().max(1.0);
         let cold = self.settings.rules.cold.f().max(1.0);
-        // Failure: as upstreams went one after another, the last ones seemed to have served what all had.
-        // Failure: when the warm ones slowed, the young, who did not, were held back with them.
         let (count, peak) = ((-elapsed / window).exp(), (-elapsed / cold).exp());
         self.up.kinds.refresh(Decay { count, window, peak });
     }
