--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,6 +1,9 @@
 //! Owns the decision module, the table of requests and the timers. Feeds the module every event in the
 //! order it came, and carries out its actions in the order it gave them. Decides nothing.
 
+mod handle;
+mod list_watch;
+
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, VecDeque};
@@ -24,8 +27,8 @@
 
 use crate::bank::{Held as Rules, Listed, News as BankNews, Rulebook};
 use crate::config::Config;
-use crate::discovery::{self, Ending, News, Patience};
-use crate::freshness::{Expiry, Freshness};
+use crate::discovery::{News, Patience};
+use crate::freshness::Freshness;
 use crate::members::{List, Phase};
 use crate::membership::{Membership, Part};
 use crate::relay::AnswerBody;
@@ -35,6 +38,8 @@
 use crate::tasks::AbortOnDrop;
 use crate::update_queue::UpdateQueue;
 use crate::upstreams::{Ended, Forward, Limit, Pool};
+pub use handle::{Door, Handle};
+use list_watch::Watch;
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
 /// arrives: the way to the client, and a busy moment here.
@@ -47,11 +52,6 @@
 const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 /// How often the subset is looked at, where there is one.
 const SUBSET_EVERY: Duration = Duration::from_secs(1);
-/// Discovery is asked on other balancers' word this often at most: calls are paid for by all.
-const ASK_LIST: Duration = Duration::from_secs(2);
-/// Calls for a pushed list are so far apart at least: the agent is on this machine and answers at no cost, but one that
-/// ends each watch at once must not be called without end. What it has counts as told meanwhile.
-const REWATCH: Duration = Duration::from_millis(100);
 
 /// Why there can be no engine.
 #[derive(Debug, thiserror::Error)]
@@ -138,136 +138,6 @@
     }
 }
 
-/// The engine as clients' connections see it.
-pub struct Handle {
-    notes: mpsc::UnboundedSender<Note>,
-    next: Cell<u64>,
-    ready: Rc<Cell<bool>>,
-    heard: Rc<Cell<bool>>,
-    list_expiry: Expiry,
-}
-
-/// The engine as operators reach it.
-pub struct Door {
-    notes: mpsc::UnboundedSender<Note>,
-    ready: Rc<Cell<bool>>,
-    heard: Rc<Cell<bool>>,
-    list_expiry: Expiry,
-}
-
-impl Door {
-    /// Whether there is anywhere to send to.
-    pub fn ready(&self) -> bool {
-        self.ready.get()
-    }
-
-    /// Whether discovery has told a list since the start.
-    pub fn heard(&self) -> bool {
-        self.heard.get()
-    }
-
-    /// Whether the list is too old to be acted on.
-    pub fn is_list_expired(&self) -> bool {
-        self.list_expiry.is_over(Instant::now())
-    }
-
-    /// Whether a list has named this upstream.
-    pub async fn has_named(&self, name: String) -> bool {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::HasNamed { name, reply });
-        answer.await.unwrap_or(false)
-    }
-
-    /// What the module has learned so far.
-    pub async fn learned(&self) -> Option<Learned> {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::Learned(reply));
-        answer.await.ok()
-    }
-
-    /// Has the module go on from what another process of this balancer has learned.
-    pub fn recall(&self, learned: Learned) {
-        let _ = self.notes.send(Note::Recall(Box::new(learned)));
-    }
-
-    /// A part of the list from there on, and whether a watch on discovery vouches for it.
-    pub async fn list(&self, from: u32) -> Option<(Part, bool)> {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::Listed { from, reply });
-        answer.await.ok()
-    }
-
-    /// Takes these out, and lets all others back; whether that is done.
-    /// Told at once; what is returned waits for it to be done.
-    pub fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool> + use<> {
-        let (done, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::Cordoned { names, done });
-        async move { answer.await.is_ok() }
-    }
-}
-
-impl Handle {
-    /// The engine as operators reach it.
-    pub fn door(&self) -> Door {
-        Door {
-            notes: self.notes.clone(),
-            ready: self.ready.clone(),
-            heard: self.heard.clone(),
-            list_expiry: self.list_expiry.clone(),
-        }
-    }
-
-    /// Whether there is anywhere to send to.
-    pub fn ready(&self) -> bool {
-        self.ready.get()
-    }
-
-    /// Tells the engine what is new with the bank.
-    pub fn banker(&self) -> impl Fn(BankNews) + use<> {
-        let notes = self.notes.clone();
-        move |news| drop(notes.send(Note::Bank(news)))
-    }
-
-    /// Tells the engine where discovery is now.
-    pub fn reloader(&self) -> impl Fn(SocketAddr) + use<> {
-        let notes = self.notes.clone();
-        move |discovery| drop(notes.send(Note::Moved(discovery)))
-    }
-
-    /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
-    pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
-        let id = RequestId(self.next.replace(self.next.get() + 1));
-        let (reply, answer) = oneshot::channel();
-        if let Some(flow) = forward.flow() {
-            let notes = self.notes.clone();
-            flow.when_whole(move || drop(notes.send(Note::Whole(id))));
-        }
-        let cancellation = arrival.cancellation.clone();
-        let _ = self.notes.send(Note::Arrived { id, arrival, forward, reply });
-        let mut leaving = Leaving { id, cancellation, notes: Some(&self.notes) };
-        let answer = answer.await;
-        leaving.notes = None;
-        answer.unwrap_or(Reply::Failed { late: false })
-    }
-}
-
-/// Tells of a client that went away before its answer.
-struct Leaving<'a> {
-    id: RequestId,
-    cancellation: Rc<Cancellation>,
-    notes: Option<&'a mpsc::UnboundedSender<Note>>,
-}
-
-impl Drop for Leaving<'_> {
-    fn drop(&mut self) {
-        if let Some(notes) = self.notes {
-            // At once: the note may wait behind many.
-            self.cancellation.cancel();
-            let _ = notes.send(Note::Left(self.id));
-        }
-    }
-}
-
 /// A request that is owed an answer, or has attempts out.
 struct Held {
     forward: Rc<Forward>,
@@ -320,17 +190,6 @@
 /// An event of the engine's own making, told once the present actions are carried out.
 type Later = (RequestId, usize, Ended);
 
-/// A watch on the list, or the call for one.
-struct Watch {
-    serial: u64,
-    /// What follows this version was asked for.
-    from: u64,
-    opened: Instant,
-    /// As far as is known it tells all that discovery has.
-    sound: bool,
-    _task: AbortOnDrop,
-}
-
 pub struct Engine {
     balancer: Balancer,
     clock: Clock,
@@ -668,129 +527,6 @@
         }
     }
 
-    fn heard(&mut self, serial: u64, news: News) {
-        let is = |watch: &Option<Watch>| watch.as_ref().is_some_and(|w| w.serial == serial);
-        match news {
-            News::List(list) => self.told(serial, &list),
-            News::Silent => {
-                if let Some(watch) = self.standing.as_mut().filter(|w| w.serial == serial)
-                    && std::mem::take(&mut watch.sound)
-                {
-                    let now = Instant::now();
-                    self.freshness.unvouched(now.checked_sub(discovery::SILENCE).unwrap_or(now));
-                    if self.opening.is_none() {
-                        self.unwatched(None);
-                    }
-                }
-            }
-            News::Ended(ending) if is(&self.opening) => {
-                let Some(call) = self.opening.take() else { return };
-                self.patience.call_ended(ending, self.freshness.is_crowded());
-                if !self.is_vouched() {
-                    self.call_ended(&call, ending);
-                }
-            }
-            News::Ended(_) if is(&self.standing) => {
-                let sound = self.standing.take().is_some_and(|w| w.sound);
-                // Of one that was silent before it is known already.
-                if sound {
-                    self.freshness.unvouched(Instant::now());
-                }
-                if sound && self.opening.is_none() {
-                    self.unwatched(None);
-                }
-            }
-            News::Ended(_) => {}
-        }
-    }
-
-    /// A watch has told a list. It was written to this balancer, and counts as told, also if the watch was replaced since.
-    fn told(&mut self, serial: u64, list: &List) {
-        // Its versions can't be held against those of the discovery that has spoken since.
-        if serial < self.counted_from {
-            return;
-        }
-        if let Some(watch) = self.opening.take_if(|w| w.serial == serial) {
-            // Asked for what follows a version, a discovery that counts in another way, as one does that began anew, says
-            // all that it has. Its versions are the ones that count from here. Failure: the first list of each watch counted
-            // anew, and one that had been overtaken by another watch's undid the news of that.
-            if std::mem::take(&mut self.elsewhere) || list.complete && list.revision < watch.from {
-                self.counted_from = serial;
-                self.upstreams.count_anew();
-                self.bank.iter().for_each(|bank| bank.heard(Listed::CountsAnew));
-            }
-            self.standing = Some(watch);
-        }
-        self.heard.set(true);
-        let delivered = self.freshness.delivered(Instant::now());
-        // What comes from another than the watch that stands says nothing of the subscription.
-        let sound = self.standing.as_ref().is_some_and(|w| w.serial == serial && w.sound);
-        let kind = match (sound, list.complete) {
-            (true, true) => ListKind::Whole,
-            (true, false) => ListKind::Update,
-            (false, true) => ListKind::Restored,
-            (false, false) => ListKind::Aside,
-        };
-        if sound {
-            self.vouched();
-        }
-        self.listed(list, kind, delivered);
-    }
-
-    /// The watch that stands has told a list: nothing is missing any more.
-    fn vouched(&mut self) {
-        self.patience = Patience::default();
-        self.freshness.vouched();
-        if std::mem::take(&mut self.list_expired) {
-            tracing::info!("the list is up to date again");
-        }
-    }
-
-    /// A call for the list has come to its end, and no watch vouches for it.
-    fn call_ended(&mut self, call: &Watch, ending: Ending) {
-        if !self.must_ask || ending != Ending::TurnedAway {
-            self.unwatched(Some(call));
-        }
-        if !self.must_ask {
-            return;
-        }
-        self.freshness.call_ended(ending, call.opened, Instant::now());
-        if let Some(at) = self.freshness.expiry().at() {
-            self.timers.push(Reverse((at, Due::ListExpiry)));
-        }
-        if ending == Ending::TurnedAway {
-            self.tell(Event::TurnedAway);
-        }
-    }
-
-    /// Has the module stop sending once the list is too old. Looked at before all else that could lead to a send.
-    fn look_at_list_age(&mut self) {
-        if self.list_expired || !self.freshness.expiry().is_over(Instant::now()) {
-            return;
-        }
-        self.list_expired = true;
-        self.ready.set(false);
-        tracing::warn!(
-            "the list has expired: discovery turns calls away, and changes may have been missed; requests are refused"
-        );
-        self.tell(Event::ListExpired);
-    }
-
-    /// Whether a watch stands that tells all that discovery has.
-    fn is_vouched(&self) -> bool {
-        self.standing.as_ref().is_some_and(|w| w.sound)
-    }
-
-    /// No watch stands, and none is being opened; the last call for one may have failed.
-    fn unwatched(&mut self, call: Option<&Watch>) {
-        if self.must_ask {
-            self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
-        } else {
-            let at = call.map_or(Instant::now(), |call| call.opened + REWATCH);
-            self.timers.push(Reverse((at, Due::Watch)));
-        }
-    }
-
     /// Takes in a list; what it changes counts as delivered at that time.
     fn listed(&mut self, list: &List, kind: ListKind, delivered: Instant) {
         let told = self.upstreams.update(list, kind, delivered);
@@ -814,20 +550,6 @@
         bank.heard(Listed::List { version: list.revision, whole, entries });
     }
 
-    /// Another balancer has a newer list: discovery is asked, but not again and again where it is behind for long.
-    fn ask_list(&mut self) {
-        // Failure: at a start each balancer opened a second one.
-        if self.opening.is_some() {
-            return;
-        }
-        let now = Instant::now();
-        if self.asked_list.is_some_and(|at| now < at + ASK_LIST) {
-            return;
-        }
-        self.asked_list = Some(now);
-        self.subscribe();
-    }
-
     /// Lays over the configuration's list what was heard after it. Discovery is asked for all that it has: of changes
     /// alone, one that counts anew would leave what this took out where it is.
     fn lay_over(&mut self, restored_list: RestoredList) {
@@ -905,40 +627,6 @@
         }
     }
 
-    /// Follows discovery to another address; upstreams, connections and all that was learned stay.
-    fn moved(&mut self, discovery: SocketAddr) {
-        if self.discovery == discovery {
-            tracing::info!("the configuration names the same discovery");
-            return;
-        }
-        tracing::info!(%discovery, "discovery moved");
-        self.discovery = discovery;
-        // Until the new one speaks, what the old one has said and says counts.
-        self.elsewhere = true;
-        self.standing.iter_mut().for_each(|watch| watch.sound = false);
-        self.freshness.unvouched(Instant::now());
-        self.opening = None;
-        self.subscribe();
-    }
-
-    /// Opens a watch, unless one is being opened: how that ends is always told. Failure: a call that had waited long for
-    /// its turn was dropped for a new one, and the list that it would have told with it.
-    fn subscribe(&mut self) {
-        if self.opening.is_some() {
-            return;
-        }
-        self.serial += 1;
-        let (serial, notes) = (self.serial, self.own_notes.clone());
-        let tell = move |news| drop(notes.send(Note::Watched { serial, news }));
-        // Another discovery counts in its own way: asked for what follows our version, it could keep silent about all
-        // that it has. From 0 on it tells everything.
-        let from = if self.elsewhere { 0 } else { self.revision };
-        let patience = self.patience.next();
-        let watch = discovery::watch(self.network.clone(), self.discovery, from, patience, tell);
-        let _task = AbortOnDrop(tokio::task::spawn_local(watch));
-        self.opening = Some(Watch { serial, from, opened: Instant::now(), sound: true, _task });
-    }
-
     /// Tells the module, and carries out what it says until nothing is left to tell.
     fn tell(&mut self, event: Event) {
         self.handle(event);
--- /dev/null
+++ b/crates/gateway/src/engine/handle.rs
@@ -0,0 +1,148 @@
+//! The engine as others reach it: clients' connections and the admin API.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hollowpaddle_policy::interface::RequestId;
+use hollowpaddle_policy::learned::Learned;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use super::{Arrival, Note, Reply};
+use crate::bank::News as BankNews;
+use crate::freshness::Expiry;
+use crate::membership::Part;
+use crate::stream::Cancellation;
+use crate::upstreams::Forward;
+
+/// The engine as clients' connections see it.
+pub struct Handle {
+    pub(super) notes: mpsc::UnboundedSender<Note>,
+    pub(super) next: Cell<u64>,
+    pub(super) ready: Rc<Cell<bool>>,
+    pub(super) heard: Rc<Cell<bool>>,
+    pub(super) list_expiry: Expiry,
+}
+
+/// The engine as operators reach it.
+pub struct Door {
+    pub(super) notes: mpsc::UnboundedSender<Note>,
+    pub(super) ready: Rc<Cell<bool>>,
+    pub(super) heard: Rc<Cell<bool>>,
+    pub(super) list_expiry: Expiry,
+}
+
+impl Door {
+    /// Whether there is anywhere to send to.
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Whether discovery has told a list since the start.
+    pub fn heard(&self) -> bool {
+        self.heard.get()
+    }
+
+    /// Whether the list is too old to be acted on.
+    pub fn is_list_expired(&self) -> bool {
+        self.list_expiry.is_over(Instant::now())
+    }
+
+    /// Whether a list has named this upstream.
+    pub async fn has_named(&self, name: String) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::HasNamed { name, reply });
+        answer.await.unwrap_or(false)
+    }
+
+    /// What the module has learned so far.
+    pub async fn learned(&self) -> Option<Learned> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Learned(reply));
+        answer.await.ok()
+    }
+
+    /// Has the module go on from what another process of this balancer has learned.
+    pub fn recall(&self, learned: Learned) {
+        let _ = self.notes.send(Note::Recall(Box::new(learned)));
+    }
+
+    /// A part of the list from there on, and whether a watch on discovery vouches for it.
+    pub async fn list(&self, from: u32) -> Option<(Part, bool)> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Listed { from, reply });
+        answer.await.ok()
+    }
+
+    /// Takes these out, and lets all others back; whether that is done.
+    /// Told at once; what is returned waits for it to be done.
+    pub fn cordon(&self, names: BTreeSet<String>) -> impl Future<Output = bool> + use<> {
+        let (done, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Cordoned { names, done });
+        async move { answer.await.is_ok() }
+    }
+}
+
+impl Handle {
+    /// The engine as operators reach it.
+    pub fn door(&self) -> Door {
+        Door {
+            notes: self.notes.clone(),
+            ready: self.ready.clone(),
+            heard: self.heard.clone(),
+            list_expiry: self.list_expiry.clone(),
+        }
+    }
+
+    /// Whether there is anywhere to send to.
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Tells the engine what is new with the bank.
+    pub fn banker(&self) -> impl Fn(BankNews) + use<> {
+        let notes = self.notes.clone();
+        move |news| drop(notes.send(Note::Bank(news)))
+    }
+
+    /// Tells the engine where discovery is now.
+    pub fn reloader(&self) -> impl Fn(SocketAddr) + use<> {
+        let notes = self.notes.clone();
+        move |discovery| drop(notes.send(Note::Moved(discovery)))
+    }
+
+    /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
+    pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
+        let id = RequestId(self.next.replace(self.next.get() + 1));
+        let (reply, answer) = oneshot::channel();
+        if let Some(flow) = forward.flow() {
+            let notes = self.notes.clone();
+            flow.when_whole(move || drop(notes.send(Note::Whole(id))));
+        }
+        let cancellation = arrival.cancellation.clone();
+        let _ = self.notes.send(Note::Arrived { id, arrival, forward, reply });
+        let mut leaving = Leaving { id, cancellation, notes: Some(&self.notes) };
+        let answer = answer.await;
+        leaving.notes = None;
+        answer.unwrap_or(Reply::Failed { late: false })
+    }
+}
+
+/// Tells of a client that went away before its answer.
+struct Leaving<'a> {
+    id: RequestId,
+    cancellation: Rc<Cancellation>,
+    pub(super) notes: Option<&'a mpsc::UnboundedSender<Note>>,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if let Some(notes) = self.notes {
+            // At once: the note may wait behind many.
+            self.cancellation.cancel();
+            let _ = notes.send(Note::Left(self.id));
+        }
+    }
+}
