Answer each call that replaces a voter, and every admin call within its time

Callers saw: POST /admin/council/replace ended without a response at every balancer; after 2 s the connection was closed.

Cause: the command went to the local replica, and its outcome came back to the local learner, which drops the outcome of a proposal that it has not sent itself; at a balancer that does not lead nothing was sent on. The learner waits 10 s for an outcome and the admin server 2 s, so that 504 was never sent for any change. A change that the voters can't allow was repeated as one that has to wait. GET /admin/bank showed the voters of the local replica, which follows no change where it does not vote. The route was read from the code; the trace of voter changes (log lines of five balancers) showed the stale view and a removal that waits for a voter that has just joined.

Change: the learner brings the change to the leader; the leader answers Never to what the voters don't allow, and removes a voter only if those that remain have a majority that takes part; the balancer checks it first and answers 409 with the reason; every call carries a deadline, at which it is answered 504; the view shows the voters of the log.

Ruled out: other paths that end without a response; the test walks over all of them with good, impossible and malformed arguments, with a cluster, without one and without a quorum.

Left: two changes in a row, where the second waits for the recovery of the voter that joined, are answered 504 and done later.

--- a/crates/consensus/src/learner.rs
+++ b/crates/consensus/src/learner.rs
@@ -14,7 +14,7 @@
 
 pub use interface::{LearnerAction, LearnerConfig, LearnerEvent};
 
-use crate::entry::{LogIndex, ProposalId};
+use crate::entry::{EntryPayload, LogIndex, ProposalId};
 use crate::log::{Log, SnapshotBase};
 use crate::message::{IncarnationCounts, MAX_SNAPSHOT_BYTES, Message, MessageBody, View};
 use crate::replication::SNAPSHOT_RESERVE_BYTES;
@@ -139,6 +139,10 @@
             LearnerEvent::Snapshot { index, bytes } => self.on_snapshot(index, bytes),
             LearnerEvent::ChangeSource(source) => self.on_change_source(source, actions),
             LearnerEvent::Propose { id, bytes } => self.on_propose(id, bytes, actions),
+            LearnerEvent::ReplaceVoter { id, removed, replacement } => {
+                let payload = EntryPayload::RemoveVoter { removed, replacement };
+                self.start_proposal(id, Some(payload), actions);
+            }
             LearnerEvent::Ask { id } => self.start_proposal(id, None, actions),
         }
     }
--- a/crates/consensus/src/learner/interface.rs
+++ b/crates/consensus/src/learner/interface.rs
@@ -64,6 +64,15 @@
         /// The command.
         bytes: Vec<u8>,
     },
+    /// Proposes that a voter is removed, or replaced.
+    ReplaceVoter {
+        /// Identifies the proposal.
+        id: ProposalId,
+        /// The voter that is removed.
+        removed: NodeId,
+        /// The node that joins.
+        replacement: Option<NodeId>,
+    },
     /// Leases, which are disseminated the same way, need another source than this one.
     ChangeSource(NodeId),
     /// Asks for the outcome of a proposal whose answer did not come.
--- a/crates/consensus/src/proposals.rs
+++ b/crates/consensus/src/proposals.rs
@@ -9,7 +9,7 @@
 use crate::interface::Action;
 use crate::log::MAX_REMEMBERED_PROPOSALS;
 use crate::log_record::Record;
-use crate::message::MessageBody;
+use crate::message::{MessageBody, ReplicaStatus};
 use crate::replica::Replica;
 
 /// Entries that are not committed yet, at most. Proposals beyond are not answered, and are repeated: without a
@@ -31,6 +31,17 @@
     }
 }
 
+/// Whether a leader can append an entry to its log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Appendable {
+    /// It can be appended now.
+    Now,
+    /// Something else has to be committed first. The proposal is not answered, and is repeated.
+    Later,
+    /// The voters don't allow it. The proposal is answered with [`ProposalOutcome::Never`].
+    Never,
+}
+
 impl Replica {
     pub(crate) fn on_propose(
         &mut self,
@@ -49,21 +60,35 @@
         }
         if !self.proposals.contains_key(&id) {
             let Some(payload) = payload else {
-                let outcome = Some(ProposalOutcome::Unknown);
-                let leader = Some(node_id);
-                self.send(from, MessageBody::ProposalResponse { id, outcome, leader }, actions);
+                self.answer_proposal(from, id, ProposalOutcome::Unknown, actions);
                 return;
             };
-            // A proposal that can't be appended now is not answered, and is repeated.
-            if !self.may_append(&payload) {
-                return;
+            match self.appendable(&payload) {
+                Appendable::Now => self.append(Entry { id, what: payload }, actions),
+                Appendable::Later => return,
+                Appendable::Never => {
+                    self.answer_proposal(from, id, ProposalOutcome::Never, actions);
+                    return;
+                }
             }
-            self.append(Entry { id, what: payload }, actions);
         }
         self.await_outcome(id, from);
         self.answer_committed(actions);
     }
 
+    /// Answers a proposal as the leader.
+    fn answer_proposal(
+        &mut self,
+        to: NodeId,
+        id: ProposalId,
+        outcome: ProposalOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let leader = Some(self.config.node_id);
+        let outcome = Some(outcome);
+        self.send(to, MessageBody::ProposalResponse { id, outcome, leader }, actions);
+    }
+
     fn await_outcome(&mut self, id: ProposalId, node: NodeId) {
         let Some(leadership) = &mut self.leadership else { return };
         let waiting = &mut leadership.waiting;
@@ -72,23 +97,46 @@
         }
     }
 
-    fn may_append(&self, payload: &EntryPayload) -> bool {
-        let voters = &self.voter_set.voters;
+    fn appendable(&self, payload: &EntryPayload) -> Appendable {
+        if self.log.op() - self.commit >= MAX_UNCOMMITTED_ENTRIES || !self.log.has_room() {
+            return Appendable::Later;
+        }
         // One change of voters at a time: two in a row could have majorities that do not intersect.
         let is_settled = self.log.has_only_commands_after(self.commit);
-        let is_possible = match payload {
-            EntryPayload::Command(_) => true,
+        let is_allowed = match payload {
+            EntryPayload::Command(_) => return Appendable::Now,
+            EntryPayload::RemoveVoter { .. } if self.voter_set.joining.is_some() => {
+                return Appendable::Later;
+            }
             EntryPayload::RemoveVoter { removed, replacement } => {
-                is_settled
-                    && self.voter_set.joining.is_none()
-                    && voters.contains(removed)
-                    && voters.len() > 1
-                    && replacement.is_none_or(|node| !voters.contains(&node))
+                let cluster = self.config.cluster;
+                let is_allowed = self.voter_set.allows_replacement(*removed, *replacement, cluster);
+                if is_allowed && !self.has_quorum_without(*removed) {
+                    return Appendable::Later;
+                }
+                is_allowed
             }
-            EntryPayload::AddVoter(node) => is_settled && !voters.contains(node),
+            EntryPayload::AddVoter(node) => !self.voter_set.voters.contains(node),
+        };
+        match (is_settled, is_allowed) {
+            (false, _) => Appendable::Later,
+            (true, true) => Appendable::Now,
+            (true, false) => Appendable::Never,
+        }
+    }
+
+    /// Whether the voters that remain without `removed` have a majority that takes part. One that has just joined does
+    /// not until it has recovered the log.
+    fn has_quorum_without(&self, removed: NodeId) -> bool {
+        let mut remaining = self.voter_set.clone();
+        remaining.voters.remove(&removed);
+        let is_normal = |node: &&NodeId| {
+            **node == self.config.node_id
+                || self.peers.get(node).is_some_and(|peer| {
+                    peer.status == ReplicaStatus::Normal && self.is_connected(peer)
+                })
         };
-        let uncommitted = self.log.op() - self.commit;
-        is_possible && uncommitted < MAX_UNCOMMITTED_ENTRIES && self.log.has_room()
+        remaining.is_majority(remaining.voters.iter().filter(is_normal))
     }
 
     fn append(&mut self, entry: Entry, actions: &mut Vec<Action>) {
@@ -112,7 +160,7 @@
         let Some(joining) = joining else { return };
         let payload = EntryPayload::AddVoter(joining);
         let is_connected = self.peers.get(&joining).is_some_and(|peer| self.is_connected(peer));
-        if is_connected && self.may_append(&payload) {
+        if is_connected && self.appendable(&payload) == Appendable::Now {
             let id = ProposalId {
                 by: joining,
                 incarnation: LEADER_PROPOSAL_INCARNATION,
--- a/crates/consensus/src/voter_set.rs
+++ b/crates/consensus/src/voter_set.rs
@@ -43,6 +43,17 @@
         nodes.into_iter().filter(|node| self.voters.contains(node)).count() >= self.majority()
     }
 
+    /// Whether a voter may be removed, with `replacement` to join in its place, in a cluster of `cluster` nodes.
+    pub fn allows_replacement(
+        &self,
+        removed: NodeId,
+        replacement: Option<NodeId>,
+        cluster: u16,
+    ) -> bool {
+        let can_join = |node: NodeId| node.0 < cluster && !self.voters.contains(&node);
+        self.voters.contains(&removed) && self.voters.len() > 1 && replacement.is_none_or(can_join)
+    }
+
     /// Applies the entry with this number.
     pub fn apply(&mut self, op: u64, payload: &EntryPayload) {
         match payload {
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -62,8 +62,12 @@
     fn save_copy(&self, copy: OperatorStateCopy);
     /// Whether this balancer is one of a cluster that agrees on a policy.
     fn is_clustered(&self) -> bool;
-    /// The cluster's answer to a request; `None` where there is no cluster.
-    fn ask_cluster(&self, request: AdminRequest) -> impl Future<Output = Option<AdminResponse>>;
+    /// The cluster's answer to a request, given by `deadline`; `None` where there is no cluster.
+    fn ask_cluster(
+        &self,
+        request: AdminRequest,
+        deadline: Instant,
+    ) -> impl Future<Output = Option<AdminResponse>>;
 }
 
 /// The admin API, and the balancer that it manages.
--- a/crates/gateway/src/admin/handlers.rs
+++ b/crates/gateway/src/admin/handlers.rs
@@ -12,6 +12,8 @@
 
 /// How long a cordon is retried at the cluster, while a concurrent change or another step comes first.
 const CLUSTER_RETRY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long before the deadline of a call the cluster has to answer it: the time to write the answer.
+const CLUSTER_ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
 impl<B: ManagedBalancer + 'static> Admin<B> {
     /// `GET /admin/health`. The process counts as ready only once other processes can see it serve: an older one must find
@@ -37,7 +39,7 @@
     }
 
     /// Carries out a command, and stores it.
-    pub(super) async fn carry_out(&self, call: Call) -> Answer {
+    pub(super) async fn carry_out(&self, call: Call, deadline: Instant) -> Answer {
         tracing::info!(?call, "operator command received");
         if let Call::Cordon(name) | Call::Uncordon(name) = &call
             && !self.balancer.has_named(name.clone()).await
@@ -47,7 +49,7 @@
         if self.balancer.is_clustered()
             && let Some(request) = cluster_request(&call)
         {
-            return self.ask_cluster(request).await;
+            return self.ask_cluster(request, deadline).await;
         }
         match self.change(|state| apply_call(&call, state)).await {
             Ok(true) => success(),
@@ -59,13 +61,14 @@
         }
     }
 
-    /// Has the cluster answer a request. One of several cordons at once is rejected since another came first, and is tried
-    /// again.
-    pub(super) async fn ask_cluster(&self, request: AdminRequest) -> Answer {
+    /// Has the cluster answer a request by `deadline`. One of several cordons at once is rejected since another came first,
+    /// and is tried again.
+    pub(super) async fn ask_cluster(&self, request: AdminRequest, deadline: Instant) -> Answer {
         tracing::info!(?request, "operator request to the cluster received");
         let until = Instant::now() + CLUSTER_RETRY_TIMEOUT;
         loop {
-            match self.balancer.ask_cluster(request.clone()).await {
+            let answer_by = deadline - CLUSTER_ANSWER_MARGIN;
+            match self.balancer.ask_cluster(request.clone(), answer_by).await {
                 None => return failure(StatusCode::NOT_FOUND, "this balancer is in no bank"),
                 Some(AdminResponse { again: true, .. })
                     if request.is_retried() && Instant::now() < until =>
--- a/crates/gateway/src/admin/server.rs
+++ b/crates/gateway/src/admin/server.rs
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::{Admin, ManagedBalancer};
 use crate::cluster::admin_api::{AdminRequest, AdminResponse, is_cluster_path};
@@ -26,8 +26,10 @@
 use crate::http::{HEAD_LIMIT, HEAD_LINES};
 use crate::tasks::AbortOnDrop;
 
-/// Time in which a call must be read and answered. A connection that takes longer is closed.
+/// Time in which a call must be read and its answer be written. A connection that takes longer is closed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time from the start of a connection by which its call has an answer, whatever has come of it.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1900);
 /// Wait after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -58,7 +60,8 @@
     }
 
     async fn serve_connection(self: Rc<Self>, stream: Box<dyn Stream>) {
-        let service = service_fn(|request| self.answer(request));
+        let deadline = Instant::now() + ANSWER_TIMEOUT;
+        let service = service_fn(|request| self.answer(request, deadline));
         let connection = http1::Builder::new()
             .keep_alive(false)
             .header_read_timeout(None)
@@ -68,35 +71,50 @@
         let _ = timeout(CALL_TIMEOUT, connection).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    /// Reads and answers a call by `deadline`: a caller without an answer could not tell what became of it.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        deadline: Instant,
+    ) -> Result<Answer, Infallible> {
         let (head, body) = request.into_parts();
         let is_for_cluster = is_cluster_path(head.uri.path());
         let limit = if is_for_cluster { MAX_JSON_BYTES } else { BODY_LIMIT };
-        let Ok(body) = Limited::new(body, limit).collect().await else {
-            let why = "the body is too long or ends early";
-            return Ok(failure(StatusCode::PAYLOAD_TOO_LARGE, why));
+        let body = match timeout_at(deadline, Limited::new(body, limit).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                let why = "the body is too long or ends early";
+                return Ok(failure(StatusCode::PAYLOAD_TOO_LARGE, why));
+            }
+            Err(_) => {
+                let why = "the body did not come in time";
+                return Ok(failure(StatusCode::REQUEST_TIMEOUT, why));
+            }
+        };
+        let answer = async {
+            if is_for_cluster {
+                self.answer_cluster_call(&head, &body, deadline).await
+            } else {
+                self.answer_own_call(&head, &body, deadline).await
+            }
         };
-        let body = body.to_bytes();
-        Ok(if is_for_cluster {
-            self.answer_cluster_call(&head, &body).await
-        } else {
-            self.answer_own_call(&head, &body).await
-        })
+        let late = |_| failure(StatusCode::GATEWAY_TIMEOUT, "no answer in time; it may be done");
+        Ok(timeout_at(deadline, answer).await.unwrap_or_else(late))
     }
 
-    async fn answer_cluster_call(&self, head: &Parts, body: &[u8]) -> Answer {
+    async fn answer_cluster_call(&self, head: &Parts, body: &[u8], deadline: Instant) -> Answer {
         let query = head.uri.query().unwrap_or_default();
         match AdminRequest::read(head.method.as_str(), head.uri.path(), query, body) {
-            Ok(request) => self.ask_cluster(request).await,
+            Ok(request) => self.ask_cluster(request, deadline).await,
             Err(cause) => cluster_answer(AdminResponse::unread(&cause)),
         }
     }
 
-    async fn answer_own_call(&self, head: &Parts, body: &[u8]) -> Answer {
+    async fn answer_own_call(&self, head: &Parts, body: &[u8], deadline: Instant) -> Answer {
         match Call::read(head.method.as_str(), head.uri.path(), body) {
             Ok(Call::Health) => self.health(),
             Ok(Call::Start) => json_answer(StatusCode::OK, &self.start_status()),
-            Ok(call) => self.carry_out(call).await,
+            Ok(call) => self.carry_out(call, deadline).await,
             Err(cause) => {
                 let status = StatusCode::from_u16(cause.status());
                 failure(status.unwrap_or(StatusCode::BAD_REQUEST), &cause.to_string())
--- a/crates/gateway/src/admin/tests.rs
+++ b/crates/gateway/src/admin/tests.rs
@@ -40,7 +40,7 @@
     fn is_clustered(&self) -> bool {
         false
     }
-    async fn ask_cluster(&self, _: AdminRequest) -> Option<AdminResponse> {
+    async fn ask_cluster(&self, _: AdminRequest, _: Instant) -> Option<AdminResponse> {
         None
     }
 }
@@ -56,7 +56,10 @@
     let old = joined(&dir, true).await;
     let mut store = Store::open(dir.path()).expect("a store");
     let (_new, _) = store.join().expect("a newer process joins");
-    assert_eq!(old.carry_out(Call::Quiesce).await.status(), StatusCode::OK);
+    assert_eq!(
+        old.carry_out(Call::Quiesce, Instant::now() + BUSY_TIMEOUT).await.status(),
+        StatusCode::OK
+    );
     let number = old.registration.as_ref().expect("it has a store").number;
     let _ = timeout(10 * POLL_INTERVAL, old.follow()).await;
     assert!(store.read_handoff(number).is_some(), "the newer process would start from nothing");
--- a/crates/gateway/src/cluster/admin_api.rs
+++ b/crates/gateway/src/cluster/admin_api.rs
@@ -4,6 +4,7 @@
 //! becomes of a request to the [`Machine`].
 
 mod change;
+mod check;
 mod fallback;
 mod fleet_facts;
 mod parse;
@@ -108,6 +109,16 @@
         matches!(change.what, PolicyChange::Cordon(_) | PolicyChange::Uncordon(_))
     }
 
+    /// What the caller is told where the outcome is not known in time.
+    fn where_to_ask(&self) -> &'static str {
+        match self {
+            Self::VoterChange(_) => {
+                "nobody who knows has answered; it may be done: GET /admin/bank tells the council"
+            }
+            _ => "nobody who knows has answered; it may stand: GET /admin/revisions/asked/ID",
+        }
+    }
+
     /// The event that hands the request to the machine. `fresh_id` is its id unless the caller named one; `facts` is the
     /// fleet as this balancer has it listed.
     ///
@@ -120,6 +131,7 @@
         facts: &FleetFacts,
         machine: &Machine,
     ) -> Result<Event<'static>, AdminResponse> {
+        self.check(machine)?;
         match self {
             Self::Cluster => Err(AdminResponse::ok(views::cluster(machine))),
             Self::Revisions => Err(AdminResponse::ok(views::revisions(machine.policy()))),
--- a/crates/gateway/src/cluster/admin_api/response.rs
+++ b/crates/gateway/src/cluster/admin_api/response.rs
@@ -88,11 +88,7 @@
                 let why = "it stands nowhere and never will: too long, too many under way, or not to be done";
                 Self::error(409, &id, why)
             }
-            ProposalResult::Unknown => {
-                let why =
-                    "nobody who knows has answered; it may stand: GET /admin/revisions/asked/ID";
-                Self::error(504, &id, why)
-            }
+            ProposalResult::Unknown => Self::error(504, &id, request.where_to_ask()),
         }
     }
 
--- a/crates/gateway/src/cluster/admin_api/views.rs
+++ b/crates/gateway/src/cluster/admin_api/views.rs
@@ -46,9 +46,11 @@
 
 fn voters(machine: &Machine) -> Value {
     let (replica, learner) = (machine.replica(), machine.learner());
+    // A replica that does not vote follows no changes of the voters, its learner does.
+    let voter_set = machine.voters();
     json!({
-        "members": replica.members().voters.iter().map(|m| m.0).collect::<Vec<_>>(),
-        "coming": replica.members().joining.map(|m| m.0),
+        "members": voter_set.voters.iter().map(|m| m.0).collect::<Vec<_>>(),
+        "coming": voter_set.joining.map(|m| m.0),
         "standing": replica.status().to_string(),
         "leader": machine.leader().map(|m| m.0),
         "source": learner.source().map(|m| m.0),
--- a/crates/gateway/src/cluster/machine.rs
+++ b/crates/gateway/src/cluster/machine.rs
@@ -147,6 +147,16 @@
         &self.wire
     }
 
+    /// The voters, as far as the log is known here.
+    pub fn voters(&self) -> &consensus::VoterSet {
+        self.learner.members()
+    }
+
+    /// Number of balancers in the cluster.
+    pub fn cluster_size(&self) -> u16 {
+        self.setup.cluster
+    }
+
     /// The leader of the voters, as far as it is known here.
     pub fn leader(&self) -> Option<NodeId> {
         self.leader.or(self.learner.leader())
@@ -199,8 +209,7 @@
         actions: &mut Vec<Action>,
     ) {
         let id = self.add_call(ticket, None, actions);
-        let command = consensus::OperatorCommand::ReplaceVoter { id, removed, replacement };
-        self.step_replica(consensus::Event::OperatorCommand(command));
+        self.step_learner(LearnerEvent::ReplaceVoter { id, removed, replacement });
     }
 
     fn force_new_epoch(&mut self, ticket: u64, voters: Vec<NodeId>, actions: &mut Vec<Action>) {
--- a/crates/gateway/src/cluster/runtime.rs
+++ b/crates/gateway/src/cluster/runtime.rs
@@ -86,8 +86,8 @@
 
     /// The earliest moment at which something is due without an event.
     fn next_due(&self) -> Option<Instant> {
-        let rollout = self.admin_calls.next_timeout();
-        [self.wake_at, self.disk_retry_at, self.lease_ends_at, rollout].into_iter().flatten().min()
+        let call = self.admin_calls.next_timeout();
+        [self.wake_at, self.disk_retry_at, self.lease_ends_at, call].into_iter().flatten().min()
     }
 
     /// Notes a failure of the disk, which is logged once until it is over; the event for the machine.
@@ -111,6 +111,7 @@
         let mut bytes = [0; DATAGRAM];
         self.dispatch(Event::Due, &mut state, &*socket).await;
         loop {
+            state.admin_calls.answer_expired();
             if state.admin_calls.has_rollouts() {
                 state.admin_calls.answer_rollouts(&self.machine.policy().status());
             }
--- a/crates/gateway/src/cluster/runtime/admin_calls.rs
+++ b/crates/gateway/src/cluster/runtime/admin_calls.rs
@@ -19,6 +19,8 @@
     pub request: AdminRequest,
     /// The fleet as this balancer has it listed.
     pub facts: FleetFacts,
+    /// When the caller must have a response, whatever is known by then.
+    pub deadline: Instant,
     /// Takes the response.
     pub reply: oneshot::Sender<AdminResponse>,
 }
@@ -30,6 +32,8 @@
     id: CommandId,
     /// Whether the entry proposed is the fallback policy that has to change before what was asked for.
     fallback_pending: bool,
+    /// When it is answered that the outcome is unknown.
+    deadline: Instant,
 }
 
 /// A caller that waits until a revision is in force at every balancer.
@@ -55,19 +59,35 @@
         !self.rollouts.is_empty()
     }
 
-    /// When the first wait for a rollout is over.
+    /// When the first wait for an answer or a rollout is over.
     pub(super) fn next_timeout(&self) -> Option<Instant> {
-        self.rollouts.iter().map(|wait| wait.until).min()
+        let commands = self.pending.values().map(|command| command.deadline);
+        let rollouts = self.rollouts.iter().map(|wait| wait.until);
+        commands.chain(rollouts).min()
+    }
+
+    /// Answers the calls whose time is over: the outcome is unknown.
+    pub(super) fn answer_expired(&mut self) {
+        let now = Instant::now();
+        let expired: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, command)| command.deadline <= now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in expired {
+            self.answer(ticket, &ProposalResult::Unknown);
+        }
     }
 
     /// Answers the call with this ticket, or has it wait for the rollout of its revision.
     pub(super) fn answer(&mut self, ticket: u64, result: &ProposalResult) {
         let Some(command) = self.pending.remove(&ticket) else { return };
-        let PendingCommand { reply, request, id, fallback_pending } = command;
+        let PendingCommand { reply, request, id, fallback_pending, deadline } = command;
         let response = AdminResponse::of(&request, id, result, fallback_pending);
         match response.wait {
             Some((revision, within)) => {
-                let until = Instant::now() + within;
+                let until = (Instant::now() + within).min(deadline);
                 self.rollouts.push(RolloutWait { reply, response, revision, until });
             }
             None => drop(reply.send(response)),
@@ -99,7 +119,7 @@
         state: &mut RunState,
         socket: &dyn Datagrams,
     ) {
-        let AdminCall { request, facts, reply } = call;
+        let AdminCall { request, facts, deadline, reply } = call;
         state.admin_calls.last_ticket += 1;
         let ticket = state.admin_calls.last_ticket;
         let id = self.command_id(ticket);
@@ -109,7 +129,8 @@
                 pending.retain(|_, command| !command.reply.is_closed());
                 let fallback_pending = request.is_retried()
                     && matches!(&event, Event::Propose { entry: Entry::FallbackPolicy(..), .. });
-                pending.insert(ticket, PendingCommand { reply, request, id, fallback_pending });
+                let command = PendingCommand { reply, request, id, fallback_pending, deadline };
+                pending.insert(ticket, command);
                 self.dispatch(event, state, socket).await;
             }
             Err(response) => drop(reply.send(response)),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,6 +12,7 @@
 use hollowpaddle_policy::learned::Learned;
 use hollowpaddle_revision::fleet::ClassFacts;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::admin::{Admin, ManagedBalancer, OperatorAccess};
 use crate::clients::ClientServer;
@@ -115,11 +116,11 @@
     fn is_clustered(&self) -> bool {
         self.cluster.is_some()
     }
-    async fn ask_cluster(&self, request: AdminRequest) -> Option<AdminResponse> {
+    async fn ask_cluster(&self, request: AdminRequest, deadline: Instant) -> Option<AdminResponse> {
         let cluster = self.cluster.as_ref()?;
         let facts = facts(&self.list_entries().await?, &cluster.classes);
         let (reply, answer) = oneshot::channel();
-        cluster.calls.send(AdminCall { request, facts, reply }).ok()?;
+        cluster.calls.send(AdminCall { request, facts, deadline, reply }).ok()?;
         answer.await.ok()
     }
 }
--- /dev/null
+++ b/tests/fleet/admin_calls.rs
@@ -0,0 +1,158 @@
+//! Calls of the admin API that can't be granted: each gets a response in time, and the response says why.
+
+use std::net::SocketAddr;
+use std::process::Command;
+
+use hollowpaddle_rehearsal::fleet::{Fleet, until};
+use hollowpaddle_rehearsal::scripted::*;
+use serde_json::{Value, json};
+
+use crate::{NODE, start};
+
+/// A call that is answered with this status, by each balancer of a cluster of three whose voters are all three.
+const IMPOSSIBLE: [(&str, &str, u16); 13] = [
+    ("/admin/council/replace", r#"{"out":9}"#, 409),
+    ("/admin/council/replace", r#"{"out":2,"then":1}"#, 409),
+    ("/admin/council/replace", r#"{"out":2,"then":2}"#, 409),
+    ("/admin/council/replace", r#"{"out":2,"then":9}"#, 409),
+    ("/admin/council/replace", r#"{"out":70000}"#, 400),
+    ("/admin/council/replace", r#"{"out":"two"}"#, 400),
+    ("/admin/council/replace", "{", 400),
+    ("/admin/council/restore", r#"{"members":2}"#, 400),
+    ("/admin/council/dead", r#"{"member":9}"#, 409),
+    ("/admin/council/alive", r#"{"member":9}"#, 409),
+    ("/admin/revisions/rollback", r#"{"to":99}"#, 409),
+    ("/admin/revisions/confirm", r#"{"revision":99}"#, 409),
+    ("/admin/revisions", r#"{"document":{"out":{"pods":[77]}}}"#, 409),
+];
+
+/// Calls of a balancer that is in no cluster, and the status of each.
+const WITHOUT_CLUSTER: [(&str, &str, &str, u16); 8] = [
+    ("GET", "/admin/bank", "", 404),
+    ("GET", "/admin/revisions", "", 404),
+    ("POST", "/admin/council/replace", r#"{"out":0}"#, 404),
+    ("POST", "/admin/council/restore", r#"{"members":[0]}"#, 404),
+    ("POST", "/admin/council/dead", r#"{"member":0}"#, 404),
+    ("POST", "/admin/council/replace", "{", 400),
+    ("POST", "/admin/cordon", r#"{"name":"s-9"}"#, 404),
+    ("POST", "/admin/cordon", "[", 400),
+];
+
+/// The status and the body of the response to a call; `None` if the connection ends without one.
+fn call(admin: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
+    let length = body.len();
+    let mut client = Client::to(admin);
+    client.send(&format!(
+        "{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}"
+    ));
+    let answer = client.answer()?;
+    Some((answer.status(), serde_json::from_slice(&answer.body).expect("JSON")))
+}
+
+/// Three balancers, all of them voters, that hold a lease.
+fn three_voters() -> (Fleet, Vec<SocketAddr>, Upstream) {
+    cluster(3)
+}
+
+/// So many balancers, all of them voters, that hold a lease.
+fn cluster(count: usize) -> (Fleet, Vec<SocketAddr>, Upstream) {
+    let upstream = Upstream::start(|_| ok(""));
+    let mut config = config(members(&[&upstream]));
+    config["fleet"] =
+        json!({"council": (0..count).collect::<Vec<_>>(), "charter": [0], "bedrock": []});
+    let mut fleet = start(count, &config);
+    let admin: Vec<SocketAddr> =
+        (0..count).map(|n| fleet.node(n).operators.expect("an admin API")).collect();
+    for at in &admin {
+        until("it holds a lease", || {
+            let (_, bank) = call(*at, "GET", "/admin/bank", "").expect("a response");
+            bank["lease"]["held"] == json!(true)
+        });
+    }
+    (fleet, admin, upstream)
+}
+
+/// The voters, by the word of this balancer.
+fn voters(admin: SocketAddr) -> Value {
+    call(admin, "GET", "/admin/bank", "").expect("a response").1["council"]["members"].clone()
+}
+
+// Guards against calls whose connection is closed without a response.
+#[test]
+fn impossible_calls_are_answered_with_the_reason_by_every_balancer() {
+    let (_fleet, admin, _upstream) = three_voters();
+    let mut wrong = Vec::new();
+    for (number, at) in admin.iter().enumerate() {
+        for (path, body, expected) in IMPOSSIBLE {
+            let found = call(*at, "POST", path, body);
+            let has_reason = |(status, text): &(u16, Value)| {
+                *status == expected && text["error"].as_str().is_some_and(|why| !why.is_empty())
+            };
+            if !found.as_ref().is_some_and(has_reason) {
+                wrong.push(format!("{number}: {path} {body}: expected {expected}, got {found:?}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert_eq!(voters(admin[0]), json!([0, 1, 2]));
+}
+
+// Guards against a voter that is replaced, or left in place, without any response.
+#[test]
+fn voters_are_replaced_and_removed_through_any_balancer() {
+    let (_fleet, admin, _upstream) = cluster(5);
+    for (through, out, then) in [(4, 0, None), (1, 1, Some(0)), (0, 2, Some(1)), (2, 3, None)] {
+        let body = json!({"out": out, "then": then});
+        let answer = call(admin[through], "POST", "/admin/council/replace", &body.to_string());
+        let (status, text) = answer.expect("a response");
+        // A change waits for a quorum of those that remain, and one that has just joined recovers first.
+        assert!(status == 200 || status == 504, "{body}: {status} {text}");
+        assert_eq!(text["ok"], json!(status == 200), "{body}: {text}");
+        assert!(status == 200 || out != 0, "the first one has nothing to wait for: {text}");
+        for at in &admin {
+            until("the voter is out, and its replacement in", || {
+                let voters = voters(*at);
+                let has = |node| voters.as_array().is_some_and(|all| all.contains(&json!(node)));
+                !has(out) && then.is_none_or(has)
+            });
+        }
+    }
+    assert_eq!(voters(admin[0]), json!([0, 1, 4]));
+}
+
+// Guards against a connection that is closed without a response while the outcome is open.
+#[test]
+fn what_no_quorum_decides_is_answered_in_time_with_the_id_to_ask_by() {
+    let (mut fleet, admin, _upstream) = three_voters();
+    fleet.kill(1);
+    fleet.kill(2);
+    for (path, body) in [
+        ("/admin/council/replace", json!({"out": 2})),
+        ("/admin/council/dead", json!({"member": 2})),
+        (
+            "/admin/revisions",
+            json!({"document": {}, "force": true, "wait": "all", "within_s": 1.8}),
+        ),
+    ] {
+        let (status, text) = call(admin[0], "POST", path, &body.to_string()).expect("a response");
+        assert!(status == 504 && text["id"].is_string(), "{path}: {status} {text}");
+    }
+    let cordon = call(admin[0], "POST", "/admin/cordon", r#"{"name":"s-0"}"#).expect("a response");
+    assert!([202, 504].contains(&cordon.0), "{cordon:?}");
+}
+
+// Guards against calls that a balancer without a cluster leaves without a response.
+#[test]
+fn a_balancer_without_a_cluster_answers_each_call() {
+    let upstream = Upstream::start(|_| ok(""));
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut command = Command::new(NODE);
+    command.env("TMPDIR", directory.path()).env("LB_CONTROL", "127.0.0.1:0");
+    let node = Node::start(command, &config(members(&[&upstream])));
+    let admin = node.operators.expect("an admin API");
+    for (method, path, body, expected) in WITHOUT_CLUSTER {
+        let (status, text) = call(admin, method, path, body).expect("a response");
+        assert_eq!(status, expected, "{method} {path} {body}: {text}");
+        assert!(text["error"].is_string(), "{text}");
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several processes of the daemon, and faults between them: what one process alone can't show.
 
+mod admin_calls;
 mod bank;
 mod comeback;
 mod crowded;
