Refuse a new epoch or a fallback policy that can't be, with the reason

Callers saw: council/restore with a node that does not exist, or with no node, was answered 200 and did nothing or began an epoch with a voter that is not there; a charter with a pod of no upstream was accepted.

Cause: the answer to a forced epoch was made without regard to what the replica does, and it ignores what it can't carry out. Ids of nodes and cells were not held against cluster and list.

Change: check.rs rejects both before anything is proposed. A charter can be forced, since a cell whose upstreams are all down can't be told from one that does not exist.

--- a/crates/gateway/src/cluster/admin_api.rs
+++ b/crates/gateway/src/cluster/admin_api.rs
@@ -53,6 +53,8 @@
     what: PolicyChange,
     /// Only report what the change would do.
     is_dry_run: bool,
+    /// Propose what does not fit the fleet as this balancer has it listed.
+    is_forced: bool,
     /// Answer only once the revision is in force at every balancer, or after this time.
     wait: Option<Duration>,
     /// The command's id, if the caller named one.
@@ -100,7 +102,7 @@
         let name = name.to_string();
         let what = if out { PolicyChange::Cordon(name) } else { PolicyChange::Uncordon(name) };
         let wait = Some(DEFAULT_ROLLOUT_WAIT);
-        Self::Change(Box::new(Change { what, is_dry_run: false, wait, id: None }))
+        Self::Change(Box::new(Change { what, is_dry_run: false, is_forced: false, wait, id: None }))
     }
 
     /// Whether the request is to be repeated while its answer is [`AdminResponse::again`].
@@ -131,7 +133,7 @@
         facts: &FleetFacts,
         machine: &Machine,
     ) -> Result<Event<'static>, AdminResponse> {
-        self.check(machine)?;
+        self.check(machine, facts)?;
         match self {
             Self::Cluster => Err(AdminResponse::ok(views::cluster(machine))),
             Self::Revisions => Err(AdminResponse::ok(views::revisions(machine.policy()))),
--- a/crates/gateway/src/cluster/admin_api/check.rs
+++ b/crates/gateway/src/cluster/admin_api/check.rs
@@ -1,14 +1,18 @@
-//! Checks a change of the voters against what this balancer knows of them, before anything is proposed.
+//! Checks a change against what this balancer knows of the cluster and the fleet, before anything is proposed.
 
-use hollowpaddle_consensus::VoterSet;
+use std::collections::BTreeSet;
+
+use hollowpaddle_consensus::{MAX_VOTERS, ReplicaStatus, VoterSet};
 use hollowpaddle_peer_transport::NodeId;
+use hollowpaddle_revision::fallback_policy::FallbackPolicy;
+use hollowpaddle_revision::fleet::FleetFacts;
 
-use super::{AdminRequest, AdminResponse, VoterChange};
+use super::{AdminRequest, AdminResponse, PolicyChange, VoterChange};
 use crate::cluster::machine::Machine;
 
-/// Why a change of the voters can't be made.
+/// Why a change can't be made.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-enum VoterChangeError {
+enum ImpossibleChange {
     #[error("there is no balancer {node} in a bank of {cluster}")]
     UnknownNode { node: u16, cluster: u16 },
     #[error("balancer {node} is not in the council, which is {voters}")]
@@ -17,10 +21,20 @@
     AlreadyAVoter { node: u16, voters: String },
     #[error("balancer {node} can't be replaced by itself")]
     ReplacedByItself { node: u16 },
-    #[error("balancer {node} is the last one in the council; name another in `then` first")]
+    #[error("balancer {node} is the last one in the council")]
     LastVoter { node: u16 },
     #[error("balancer {node} is still joining the council; call again once it is in")]
     StillJoining { node: u16 },
+    #[error("a council has 1 to {MAX_VOTERS} members, and {count} are named")]
+    VoterCount { count: usize },
+    #[error("balancer {node} has to be a member itself; call one of those that are named")]
+    NotAmongVoters { node: u16 },
+    #[error("balancer {node} can't write its log; call another of those that are named")]
+    DiskFailed { node: u16 },
+    #[error(
+        "no upstream that serves is in pod {cell}, only in {known}; `force` proposes it all the same"
+    )]
+    UnknownCell { cell: u32, known: String },
 }
 
 impl AdminRequest {
@@ -28,22 +42,33 @@
     ///
     /// # Errors
     /// The rejection.
-    pub(super) fn check(&self, machine: &Machine) -> Result<(), AdminResponse> {
-        let Self::VoterChange(change) = self else { return Ok(()) };
-        change
-            .check(machine.voters(), machine.cluster_size())
-            .map_err(|why| AdminResponse { status: 409, ..AdminResponse::bad(&why.to_string()) })
+    pub(super) fn check(&self, machine: &Machine, facts: &FleetFacts) -> Result<(), AdminResponse> {
+        let checked = match self {
+            Self::VoterChange(change) => change.check(machine),
+            Self::Change(change) => match &change.what {
+                PolicyChange::FallbackPolicy(policy) if !change.is_forced => {
+                    check_cells(policy, facts)
+                }
+                _ => Ok(()),
+            },
+            _ => Ok(()),
+        };
+        checked.map_err(|why| AdminResponse { status: 409, ..AdminResponse::bad(&why.to_string()) })
     }
 }
 
 impl VoterChange {
-    fn check(&self, voter_set: &VoterSet, cluster: u16) -> Result<(), VoterChangeError> {
+    fn check(&self, machine: &Machine) -> Result<(), ImpossibleChange> {
+        let cluster = machine.cluster_size();
         match self {
-            Self::Replace { removed, replacement, .. } => {
+            Self::Replace { removed, replacement } => {
                 check_nodes(replacement.iter().chain([removed]), cluster)?;
-                check_replacement(voter_set, *removed, *replacement)
+                check_replacement(machine.voters(), *removed, *replacement)
+            }
+            Self::ForceNewEpoch(voters) => {
+                check_nodes(voters, cluster)?;
+                check_new_epoch(voters, machine)
             }
-            Self::ForceNewEpoch(_) => Ok(()),
         }
     }
 }
@@ -51,10 +76,10 @@
 fn check_nodes<'a>(
     nodes: impl IntoIterator<Item = &'a NodeId>,
     cluster: u16,
-) -> Result<(), VoterChangeError> {
+) -> Result<(), ImpossibleChange> {
     let unknown = nodes.into_iter().find(|node| node.0 >= cluster);
     match unknown {
-        Some(node) => Err(VoterChangeError::UnknownNode { node: node.0, cluster }),
+        Some(node) => Err(ImpossibleChange::UnknownNode { node: node.0, cluster }),
         None => Ok(()),
     }
 }
@@ -63,23 +88,47 @@
     voter_set: &VoterSet,
     removed: NodeId,
     replacement: Option<NodeId>,
-) -> Result<(), VoterChangeError> {
+) -> Result<(), ImpossibleChange> {
     let voters = &voter_set.voters;
     let listed = || voters.iter().map(|node| node.0.to_string()).collect::<Vec<_>>().join(", ");
     if let Some(joining) = voter_set.joining {
-        return Err(VoterChangeError::StillJoining { node: joining.0 });
+        return Err(ImpossibleChange::StillJoining { node: joining.0 });
     }
     if !voters.contains(&removed) {
-        return Err(VoterChangeError::NotAVoter { node: removed.0, voters: listed() });
+        return Err(ImpossibleChange::NotAVoter { node: removed.0, voters: listed() });
     }
     if replacement == Some(removed) {
-        return Err(VoterChangeError::ReplacedByItself { node: removed.0 });
+        return Err(ImpossibleChange::ReplacedByItself { node: removed.0 });
     }
     if let Some(node) = replacement.filter(|node| voters.contains(node)) {
-        return Err(VoterChangeError::AlreadyAVoter { node: node.0, voters: listed() });
+        return Err(ImpossibleChange::AlreadyAVoter { node: node.0, voters: listed() });
     }
     if voters.len() == 1 {
-        return Err(VoterChangeError::LastVoter { node: removed.0 });
+        return Err(ImpossibleChange::LastVoter { node: removed.0 });
+    }
+    Ok(())
+}
+
+/// Whether this balancer can begin an epoch with these voters.
+fn check_new_epoch(voters: &[NodeId], machine: &Machine) -> Result<(), ImpossibleChange> {
+    let node = machine.node_id();
+    if voters.is_empty() || voters.len() > MAX_VOTERS {
+        return Err(ImpossibleChange::VoterCount { count: voters.len() });
+    }
+    if !voters.contains(&node) {
+        return Err(ImpossibleChange::NotAmongVoters { node: node.0 });
+    }
+    if machine.replica().status() == ReplicaStatus::DiskFailed {
+        return Err(ImpossibleChange::DiskFailed { node: node.0 });
     }
     Ok(())
 }
+
+/// Whether the fleet has the cells that a fallback policy allows. A cell of which no upstream serves now can't be told from
+/// one that does not exist.
+fn check_cells(policy: &FallbackPolicy, facts: &FleetFacts) -> Result<(), ImpossibleChange> {
+    let known: BTreeSet<u32> = facts.groups.iter().map(|group| group.cell).collect();
+    let Some(&cell) = policy.cells.difference(&known).next() else { return Ok(()) };
+    let known: Vec<String> = known.iter().map(u32::to_string).collect();
+    Err(ImpossibleChange::UnknownCell { cell, known: known.join(", ") })
+}
--- a/crates/gateway/src/cluster/admin_api/parse.rs
+++ b/crates/gateway/src/cluster/admin_api/parse.rs
@@ -181,7 +181,7 @@
         let wait = self.rollout_wait()?;
         let id = self.id.as_deref().map(command_id).transpose()?;
         let is_dry_run = self.dry || query.split('&').any(|q| q == "dry" || q == "dry=1");
-        Ok(Change { what, is_dry_run, wait, id })
+        Ok(Change { what, is_dry_run, is_forced: self.force, wait, id })
     }
 
     fn rollout_wait(&self) -> Result<Option<Duration>, AdminRequestError> {
--- a/tests/fleet/admin_calls.rs
+++ b/tests/fleet/admin_calls.rs
@@ -10,7 +10,7 @@
 use crate::{NODE, start};
 
 /// A call that is answered with this status, by each balancer of a cluster of three whose voters are all three.
-const IMPOSSIBLE: [(&str, &str, u16); 13] = [
+const IMPOSSIBLE: [(&str, &str, u16); 17] = [
     ("/admin/council/replace", r#"{"out":9}"#, 409),
     ("/admin/council/replace", r#"{"out":2,"then":1}"#, 409),
     ("/admin/council/replace", r#"{"out":2,"then":2}"#, 409),
@@ -19,6 +19,10 @@
     ("/admin/council/replace", r#"{"out":"two"}"#, 400),
     ("/admin/council/replace", "{", 400),
     ("/admin/council/restore", r#"{"members":2}"#, 400),
+    ("/admin/council/restore", r#"{"members":[7]}"#, 409),
+    ("/admin/council/restore", r#"{"members":[]}"#, 409),
+    ("/admin/council/restore", r#"{"members":[0,1,2,9]}"#, 409),
+    ("/admin/charter", r#"{"charter":{"pods":[77],"attempts":1}}"#, 409),
     ("/admin/council/dead", r#"{"member":9}"#, 409),
     ("/admin/council/alive", r#"{"member":9}"#, 409),
     ("/admin/revisions/rollback", r#"{"to":99}"#, 409),
@@ -77,7 +81,7 @@
     call(admin, "GET", "/admin/bank", "").expect("a response").1["council"]["members"].clone()
 }
 
-// Guards against calls whose connection is closed without a response.
+// Guards against calls whose connection is closed without a response, and against 200 for what can't be done.
 #[test]
 fn impossible_calls_are_answered_with_the_reason_by_every_balancer() {
     let (_fleet, admin, _upstream) = three_voters();
