Name the caller's id in answers, and take ids of 32 hexadecimal digits alone

Callers saw: an answer to a change with an "id" named another, fresh one, and so did the 504 that says to ask by it; "a1" was taken without a word as another number; GET /admin/revisions printed ids in decimal.

Cause: the runtime made a fresh id for the answer of each call; the caller's id was used in the entry alone.

Change: the id is chosen once for entry and answer. Ids have 32 hexadecimal digits where they are read and printed.

--- a/crates/gateway/src/cluster/admin_api.rs
+++ b/crates/gateway/src/cluster/admin_api.rs
@@ -43,8 +43,8 @@
     CommandOutcome(CommandId),
     /// A change of the policy log.
     Change(Box<Change>),
-    /// A change of the voters.
-    VoterChange(VoterChange),
+    /// A change of the voters, and its id if the caller named one.
+    VoterChange(VoterChange, Option<CommandId>),
 }
 
 /// A change of the policy log.
@@ -111,25 +111,35 @@
         matches!(change.what, PolicyChange::Cordon(_) | PolicyChange::Uncordon(_))
     }
 
+    /// The id of the command that the caller named.
+    pub fn command_id(&self) -> Option<CommandId> {
+        match self {
+            Self::CommandOutcome(id) => Some(*id),
+            Self::Change(change) => change.id,
+            Self::VoterChange(_, id) => *id,
+            Self::Cluster | Self::Revisions | Self::Revision(_) => None,
+        }
+    }
+
     /// What the caller is told where the outcome is not known in time.
     fn where_to_ask(&self) -> &'static str {
         match self {
-            Self::VoterChange(_) => {
+            Self::VoterChange(..) => {
                 "nobody who knows has answered; it may be done: GET /admin/bank tells the council"
             }
             _ => "nobody who knows has answered; it may stand: GET /admin/revisions/asked/ID",
         }
     }
 
-    /// The event that hands the request to the machine. `fresh_id` is its id unless the caller named one; `facts` is the
-    /// fleet as this balancer has it listed.
+    /// The event that hands the request to the machine. `id` is the id of its command; `facts` is the fleet as this balancer
+    /// has it listed.
     ///
     /// # Errors
     /// The answer, where the machine need not be involved: a view, or a rejection.
     pub fn event(
         &self,
         ticket: u64,
-        fresh_id: CommandId,
+        id: CommandId,
         facts: &FleetFacts,
         machine: &Machine,
     ) -> Result<Event<'static>, AdminResponse> {
@@ -138,14 +148,14 @@
             Self::Cluster => Err(AdminResponse::ok(views::cluster(machine))),
             Self::Revisions => Err(AdminResponse::ok(views::revisions(machine.policy()))),
             Self::Revision(number) => Err(views::revision(machine.policy(), *number)),
-            Self::CommandOutcome(id) => Ok(Event::QueryOutcome { ticket, id: *id }),
-            Self::VoterChange(VoterChange::Replace { removed, replacement }) => {
+            Self::CommandOutcome(_) => Ok(Event::QueryOutcome { ticket, id }),
+            Self::VoterChange(VoterChange::Replace { removed, replacement }, _) => {
                 Ok(Event::ReplaceVoter { ticket, removed: *removed, replacement: *replacement })
             }
-            Self::VoterChange(VoterChange::ForceNewEpoch(voters)) => {
+            Self::VoterChange(VoterChange::ForceNewEpoch(voters), _) => {
                 Ok(Event::ForceNewEpoch { ticket, voters: voters.clone() })
             }
-            Self::Change(change) => change.event(ticket, fresh_id, facts, machine),
+            Self::Change(change) => change.event(ticket, id, facts, machine),
         }
     }
 }
--- a/crates/gateway/src/cluster/admin_api/change.rs
+++ b/crates/gateway/src/cluster/admin_api/change.rs
@@ -27,11 +27,10 @@
     pub(super) fn event(
         &self,
         ticket: u64,
-        fresh_id: CommandId,
+        id: CommandId,
         facts: &FleetFacts,
         machine: &Machine,
     ) -> Result<Event<'static>, AdminResponse> {
-        let id = self.id.unwrap_or(fresh_id);
         let context = Context { id, facts, machine, policy: machine.policy() };
         let entry = self.entry(&context)?;
         if self.is_dry_run {
--- a/crates/gateway/src/cluster/admin_api/check.rs
+++ b/crates/gateway/src/cluster/admin_api/check.rs
@@ -44,7 +44,7 @@
     /// The rejection.
     pub(super) fn check(&self, machine: &Machine, facts: &FleetFacts) -> Result<(), AdminResponse> {
         let checked = match self {
-            Self::VoterChange(change) => change.check(machine),
+            Self::VoterChange(change, _) => change.check(machine),
             Self::Change(change) => match &change.what {
                 PolicyChange::FallbackPolicy(policy) if !change.is_forced => {
                     check_cells(policy, facts)
--- a/crates/gateway/src/cluster/admin_api/parse.rs
+++ b/crates/gateway/src/cluster/admin_api/parse.rs
@@ -17,8 +17,8 @@
 
 /// The longest wait that a call may ask for: the admin server closes a call after 2 s.
 const MAX_ROLLOUT_WAIT: Duration = Duration::from_millis(1800);
-/// Hexadecimal digits of the longest command id.
-const MAX_ID_DIGITS: usize = 32;
+/// Hexadecimal digits of a command id.
+const ID_DIGITS: usize = 32;
 /// First parts of the paths that belong to the cluster.
 const PATHS: [&str; 4] = ["/admin/bank", "/admin/revisions", "/admin/charter", "/admin/council"];
 
@@ -113,7 +113,7 @@
             ("POST", parts) => {
                 let body = Body::read(body)?;
                 if let Some(change) = body.voter_change(parts)? {
-                    return Ok(Self::VoterChange(change));
+                    return Ok(Self::VoterChange(change, body.command_id()?));
                 }
                 let what = body.policy_change(parts)?.ok_or_else(no_such)?;
                 Ok(Self::Change(Box::new(body.change(what, query)?)))
@@ -179,11 +179,16 @@
     /// A change with what the body and the query say of carrying it out.
     fn change(&self, what: PolicyChange, query: &str) -> Result<Change, AdminRequestError> {
         let wait = self.rollout_wait()?;
-        let id = self.id.as_deref().map(command_id).transpose()?;
+        let id = self.command_id()?;
         let is_dry_run = self.dry || query.split('&').any(|q| q == "dry" || q == "dry=1");
         Ok(Change { what, is_dry_run, is_forced: self.force, wait, id })
     }
 
+    /// The command's id, if the caller names one.
+    fn command_id(&self) -> Result<Option<CommandId>, AdminRequestError> {
+        self.id.as_deref().map(command_id).transpose()
+    }
+
     fn rollout_wait(&self) -> Result<Option<Duration>, AdminRequestError> {
         match self.wait.as_deref() {
             None | Some("yes") => Ok(None),
@@ -206,15 +211,13 @@
     value.ok_or_else(|| AdminRequestError::missing(key))
 }
 
-/// Reads a command id: 1 to 32 hexadecimal digits.
+/// Reads a command id: 32 hexadecimal digits, so that answers print it as the caller wrote it.
 fn command_id(text: &str) -> Result<CommandId, AdminRequestError> {
-    let wrong = || {
+    let is_complete = text.len() == ID_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+    let id = u128::from_str_radix(text, 16).ok().filter(|_| is_complete).map(CommandId);
+    id.ok_or_else(|| {
         AdminRequestError::Body(format!(
-            "`{text}` names no question; expected 1 to {MAX_ID_DIGITS} hexadecimal digits"
+            "`{text}` is no id of a command; expected {ID_DIGITS} hexadecimal digits"
         ))
-    };
-    if text.is_empty() || text.len() > MAX_ID_DIGITS {
-        return Err(wrong());
-    }
-    u128::from_str_radix(text, 16).map(CommandId).map_err(|_| wrong())
+    })
 }
--- a/crates/gateway/src/cluster/runtime/admin_calls.rs
+++ b/crates/gateway/src/cluster/runtime/admin_calls.rs
@@ -122,7 +122,7 @@
         let AdminCall { request, facts, deadline, reply } = call;
         state.admin_calls.last_ticket += 1;
         let ticket = state.admin_calls.last_ticket;
-        let id = self.command_id(ticket);
+        let id = request.command_id().unwrap_or_else(|| self.fresh_command_id(ticket));
         match request.event(ticket, id, &facts, &self.machine) {
             Ok(event) => {
                 let pending = &mut state.admin_calls.pending;
@@ -139,7 +139,7 @@
 
     /// An id for a command that the caller did not name. It is unique: no two processes share an incarnation, and none
     /// uses a ticket twice.
-    fn command_id(&self, ticket: u64) -> CommandId {
+    fn fresh_command_id(&self, ticket: u64) -> CommandId {
         let incarnation = u128::from(self.machine.wire().own_incarnation().0);
         let node_id = u128::from(self.machine.node_id().0);
         CommandId(incarnation << 96 | node_id << 64 | u128::from(ticket))
--- a/crates/revision/src/history.rs
+++ b/crates/revision/src/history.rs
@@ -37,8 +37,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bootstrap => write!(f, "founding"),
-            Self::Proposed(CommandId(id)) => write!(f, "proposed(id({id}))"),
-            Self::Rollback(CommandId(id), to) => write!(f, "rollback(id({id}), {to})"),
+            Self::Proposed(CommandId(id)) => write!(f, "proposed(id({id:032x}))"),
+            Self::Rollback(CommandId(id), to) => write!(f, "rollback(id({id:032x}), {to})"),
             Self::AutomaticRollback(revision, RollbackCause::NotConfirmed) => {
                 write!(f, "takenback({revision}, notconfirmed)")
             }
--- a/tests/fleet/admin_calls.rs
+++ b/tests/fleet/admin_calls.rs
@@ -18,15 +18,15 @@
     ("/admin/council/replace", r#"{"out":70000}"#, 400),
     ("/admin/council/replace", r#"{"out":"two"}"#, 400),
     ("/admin/council/replace", "{", 400),
-    ("/admin/council/restore", r#"{"members":2}"#, 400),
     ("/admin/council/restore", r#"{"members":[7]}"#, 409),
     ("/admin/council/restore", r#"{"members":[]}"#, 409),
     ("/admin/council/restore", r#"{"members":[0,1,2,9]}"#, 409),
-    ("/admin/charter", r#"{"charter":{"pods":[77],"attempts":1}}"#, 409),
+    ("/admin/council/restore", r#"{"members":2}"#, 400),
     ("/admin/council/dead", r#"{"member":9}"#, 409),
     ("/admin/council/alive", r#"{"member":9}"#, 409),
     ("/admin/revisions/rollback", r#"{"to":99}"#, 409),
     ("/admin/revisions/confirm", r#"{"revision":99}"#, 409),
+    ("/admin/charter", r#"{"charter":{"pods":[77],"attempts":1}}"#, 409),
     ("/admin/revisions", r#"{"document":{"out":{"pods":[77]}}}"#, 409),
 ];
 
@@ -130,7 +130,8 @@
     let (mut fleet, admin, _upstream) = three_voters();
     fleet.kill(1);
     fleet.kill(2);
-    for (path, body) in [
+    let id = "00112233445566778899aabbccddeeff";
+    for (path, mut body) in [
         ("/admin/council/replace", json!({"out": 2})),
         ("/admin/council/dead", json!({"member": 2})),
         (
@@ -138,11 +139,42 @@
             json!({"document": {}, "force": true, "wait": "all", "within_s": 1.8}),
         ),
     ] {
+        body["id"] = id.into();
         let (status, text) = call(admin[0], "POST", path, &body.to_string()).expect("a response");
-        assert!(status == 504 && text["id"].is_string(), "{path}: {status} {text}");
+        assert_eq!((status, &text["id"]), (504, &json!(id)), "{path}: {text}");
     }
     let cordon = call(admin[0], "POST", "/admin/cordon", r#"{"name":"s-0"}"#).expect("a response");
     assert!([202, 504].contains(&cordon.0), "{cordon:?}");
+    let path = format!("/admin/revisions/asked/{id}");
+    let (status, text) = call(admin[0], "GET", &path, "").expect("a response");
+    assert_eq!((status, &text["id"]), (504, &json!(id)), "{text}");
+}
+
+// Guards against answers that name another command than the caller's, and against ids that are replaced in silence.
+#[test]
+fn answers_name_the_id_of_the_caller_and_other_forms_of_it_are_rejected() {
+    let (_fleet, admin, _upstream) = three_voters();
+    let id = "ffeeddccbbaa99887766554433221100";
+    let body = json!({"document": {}, "force": true, "id": id}).to_string();
+    let (status, first) = call(admin[0], "POST", "/admin/revisions", &body).expect("a response");
+    assert_eq!((status, &first["id"]), (200, &json!(id)), "{first}");
+    // The same command at another balancer is the same revision, under the same id.
+    let (status, again) = call(admin[1], "POST", "/admin/revisions", &body).expect("a response");
+    assert_eq!((status, &again), (200, &first));
+    let path = format!("/admin/revisions/asked/{id}");
+    let (status, asked) = call(admin[0], "GET", &path, "").expect("a response");
+    assert_eq!((status, &asked), (200, &first));
+    let (_, listed) = call(admin[0], "GET", "/admin/revisions", "").expect("a response");
+    assert!(listed.to_string().contains(id), "{listed}");
+    for other in ["a1", "", "zz", "00112233-4455-6677-8899-aabbccddeeff", &format!("0{id}")] {
+        let body = json!({"document": {}, "force": true, "id": other}).to_string();
+        let (status, text) = call(admin[0], "POST", "/admin/revisions", &body).expect("a response");
+        let why = text["error"].as_str().unwrap_or_default();
+        assert!(status == 400 && why.contains("32 hexadecimal digits"), "{other}: {status} {text}");
+        let path = format!("/admin/revisions/asked/{other}");
+        let (status, text) = call(admin[0], "GET", &path, "").expect("a response");
+        assert!([400, 404].contains(&status), "{other}: {text}");
+    }
 }
 
 // Guards against calls that a balancer without a cluster leaves without a response.
