--- a/crates/revision/tests/formats.rs
+++ b/crates/revision/tests/formats.rs
@@ -163,7 +163,10 @@
     vec![
         ("founding", Origin::Bootstrap),
         ("proposed(id(00000000000000000000000000002832))", Origin::Proposed(CommandId(0x2832))),
-        ("rollback(id(00000000000000000000000000002832), 3)", Origin::Rollback(CommandId(0x2832), 3)),
+        (
+            "rollback(id(00000000000000000000000000002832), 3)",
+            Origin::Rollback(CommandId(0x2832), 3),
+        ),
         ("takenback(11, notconfirmed)", Origin::AutomaticRollback(11, RollbackCause::NotConfirmed)),
         (
             "takenback(11, worthfell(300))",
