--- a/crates/policy/tests/start.rs
+++ b/crates/policy/tests/start.rs
@@ -26,6 +26,8 @@
     last: u64,
     served: u64,
     refused: u64,
+    /// How long an upstream takes to answer.
+    answer: i64,
 }
 
 fn settings(classes: usize, balancers: u32) -> Settings {
@@ -50,9 +52,13 @@
 
 impl Morning {
     fn new(settings: Settings, upstreams: u32, clients: usize) -> Self {
+        Self::with_answers_after(ANSWER, settings, upstreams, clients)
+    }
+
+    fn with_answers_after(answer: i64, settings: Settings, upstreams: u32, clients: usize) -> Self {
         let balancer = Balancer::new(settings, 3, Time(0)).expect("sound settings");
         let due = BinaryHeap::new();
-        let mut m = Self { balancer, now: 0, due, last: 0, served: 0, refused: 0 };
+        let mut m = Self { balancer, now: 0, due, last: 0, served: 0, refused: 0, answer };
         let name = |i: u32| u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let member = |i| Member { identity: name(i), ..Member::live(ServerId(i)) };
         let list: Vec<Member> = (0..upstreams).map(member).collect();
@@ -68,7 +74,7 @@
             match action {
                 Action::Send { request, server, .. } => {
                     let answer = Due::Answer(request.0, server.0, self.now);
-                    self.due.push(Reverse((self.now + ANSWER, answer)));
+                    self.due.push(Reverse((self.now + self.answer, answer)));
                 }
                 Action::Refuse { .. } => {
                     self.refused += 1;
@@ -111,6 +117,16 @@
     }
 }
 
+// Guards against a fresh process that refuses a burst by what it assumes of upstreams that nobody has asked yet.
+#[test]
+fn the_first_burst_of_a_fresh_balancer_is_not_refused_before_idle_upstreams() {
+    for (upstreams, burst) in [(4, 16), (4, 32), (8, 64)] {
+        let mut m = Morning::with_answers_after(5 * MS, settings(3, 1), upstreams, burst);
+        let (served, refused) = m.until(100);
+        assert_eq!(refused, 0, "{burst} requests before {upstreams} upstreams, {served} served");
+    }
+}
+
 #[test]
 fn rejects_nothing_while_each_request_has_an_idle_upstream() {
     for upstreams in [8, 64, 256] {
