Bound the entries of a state transfer in bytes as well

A node from which a log is fetched could make the fetching balancer hold 8,192 entries of 16 KiB each: 128 MiB in a process that may have 32 MB. Cause: a log is bounded in number and in bytes, the transfer of one in number alone (read from the code). A log of full size still passes, since the bound is the log's own, checked before each part as has_room does.

--- a/crates/consensus/src/state_transfer.rs
+++ b/crates/consensus/src/state_transfer.rs
@@ -6,7 +6,7 @@
 use hollowpaddle_peer_transport::NodeId;
 
 use crate::entry::Entry;
-use crate::log::{Log, MAX_LOG_ENTRIES, SnapshotBase};
+use crate::log::{Log, MAX_LOG_BYTES, MAX_LOG_ENTRIES, SnapshotBase};
 use crate::message::{LogPart, MAX_SNAPSHOT_BYTES, View};
 
 /// What a state transfer requests next.
@@ -34,6 +34,8 @@
     first: u64,
     base: Option<SnapshotBase>,
     entries: Vec<Entry>,
+    /// Encoded size of `entries`.
+    entry_bytes: usize,
     snapshot: SnapshotAssembly,
 }
 
@@ -49,6 +51,7 @@
             first,
             base: None,
             entries: Vec::new(),
+            entry_bytes: 0,
             snapshot: SnapshotAssembly::default(),
         }
     }
@@ -68,6 +71,7 @@
                 if let Some(base) = self.snapshot.add(chunk) {
                     self.first = base.op + 1;
                     self.entries.clear();
+                    self.entry_bytes = 0;
                     self.base = Some(base);
                     return true;
                 }
@@ -78,9 +82,12 @@
 
     fn add_entries(&mut self, first: u64, entries: Vec<Entry>) -> bool {
         let is_next = first == self.position().next_op && !entries.is_empty();
-        if !is_next || self.entries.len() >= MAX_LOG_ENTRIES {
+        // As for a log, whose last entry may go beyond the bound.
+        let has_room = self.entries.len() < MAX_LOG_ENTRIES && self.entry_bytes < MAX_LOG_BYTES;
+        if !is_next || !has_room {
             return false;
         }
+        self.entry_bytes += entries.iter().map(Entry::encoded_bytes).sum::<usize>();
         self.entries.extend(entries);
         true
     }
@@ -156,3 +163,6 @@
         (rest.is_empty() && base.op == self.op).then_some(base)
     }
 }
+
+#[cfg(test)]
+mod tests;
