Try no spare connection again at once after one that was refused

A failed spare wakes nobody, and none is tried there for 250 ms. The new test in attempts covers it (it was written after the change and not run before it).

--- a/crates/gateway/src/upstreams/connect.rs
+++ b/crates/gateway/src/upstreams/connect.rs
@@ -153,11 +153,16 @@
         let (pool, server, target) = (self.clone(), guard.upstream(), guard.target().clone());
         self.spares.note_opening(server);
         tokio::task::spawn_local(async move {
-            let opened = pool.connect(target.address.get()).await;
-            if let Ok(connection) = opened {
-                pool.put_idle(server, &target, connection);
+            match pool.connect(target.address.get()).await {
+                Ok(connection) => {
+                    pool.put_idle(server, &target, connection);
+                    pool.spares.note_opened(server);
+                }
+                Err(cause) => {
+                    tracing::debug!(upstream = server.0, %cause, "spare connection failed");
+                    pool.spares.note_failed(server, Instant::now());
+                }
             }
-            pool.spares.note_opened(server);
         });
     }
 
--- a/crates/gateway/src/upstreams/spares.rs
+++ b/crates/gateway/src/upstreams/spares.rs
@@ -20,6 +20,8 @@
 /// How much one upstream needs a spare.
 struct Demand {
     last_wait: Instant,
+    /// When the last spare could not be opened. None is tried for [`WAIT_MEMORY`] from then on.
+    failed_at: Option<Instant>,
     /// Whether a spare is being opened. There is one at a time.
     is_opening: bool,
     /// Notifies the requests that wait once a spare is open.
@@ -32,12 +34,19 @@
         let mut demands = self.0.borrow_mut();
         let Some(demand) = demands.get_mut(&server) else {
             let opened = Rc::<Notify>::default();
-            let demand = Demand { last_wait: now, is_opening: false, opened: opened.clone() };
+            let demand = Demand {
+                last_wait: now,
+                failed_at: None,
+                is_opening: false,
+                opened: opened.clone(),
+            };
             demands.insert(server, demand);
             return Wait { needs_spare: false, opened };
         };
         let last_wait = std::mem::replace(&mut demand.last_wait, now);
-        let needs_spare = !demand.is_opening && now.duration_since(last_wait) < WAIT_MEMORY;
+        let is_recent = |at: Instant| now.duration_since(at) < WAIT_MEMORY;
+        let has_failed = demand.failed_at.is_some_and(is_recent);
+        let needs_spare = !demand.is_opening && !has_failed && is_recent(last_wait);
         Wait { needs_spare, opened: demand.opened.clone() }
     }
 
@@ -48,7 +57,7 @@
         }
     }
 
-    /// Notes that a spare is open, or could not be opened, and notifies those that wait.
+    /// Notes that a spare is open, and notifies those that wait.
     pub(super) fn note_opened(&self, server: ServerId) {
         if let Some(demand) = self.0.borrow_mut().get_mut(&server) {
             demand.is_opening = false;
@@ -56,6 +65,14 @@
         }
     }
 
+    /// Notes that a spare could not be opened. Those that wait go on waiting.
+    pub(super) fn note_failed(&self, server: ServerId, now: Instant) {
+        if let Some(demand) = self.0.borrow_mut().get_mut(&server) {
+            demand.is_opening = false;
+            demand.failed_at = Some(now);
+        }
+    }
+
     /// Forgets upstreams without a recent wait.
     pub(super) fn forget_old_waits(&self) {
         let is_recent =
--- a/crates/gateway/tests/attempts/answers.rs
+++ b/crates/gateway/tests/attempts/answers.rs
@@ -225,3 +225,20 @@
     })
     .await;
 }
+
+// Guards against a spare that is refused at once and tried again without a pause, for as long as a request waits.
+#[tokio::test(start_paused = true)]
+async fn a_spare_that_is_refused_is_not_tried_again_at_once_and_fails_nothing() {
+    let does = (0..12).map(|_| Does::Answers(ok("own"))).collect();
+    Rig::run(settings(), does, async |rig| {
+        rig.links.refused_from.set(Some(1));
+        let mut client = rig.client().await;
+        for n in 0..12 {
+            let answer = client.ask(&request("alarm", &format!("r{n}"), 6000, "x")).await;
+            assert_eq!(answer, (200, "own".to_string()));
+        }
+        let begun = rig.links.begun.get();
+        assert!((2..=3).contains(&begun), "{begun} begun in twelve waits of 20 ms");
+    })
+    .await;
+}
--- a/crates/gateway/tests/attempts/rig.rs
+++ b/crates/gateway/tests/attempts/rig.rs
@@ -68,6 +68,8 @@
 pub struct Links {
     /// So long each takes to come up; those behind them come up at once.
     pub late: RefCell<VecDeque<Duration>>,
+    /// Connections from this number on are refused at once.
+    pub refused_from: Cell<Option<usize>>,
     /// The process does not run for so long when the connection of this number is first read from.
     pub stall: Cell<Option<(usize, Duration)>>,
     /// Begun so far, and open now.
@@ -90,6 +92,9 @@
         }
         let links = self.links.clone();
         let number = links.begun.replace(links.begun.get() + 1);
+        if links.refused_from.get().is_some_and(|from| number >= from) {
+            return Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) });
+        }
         let late = links.late.borrow_mut().pop_front().unwrap_or_default();
         links.open.set(links.open.get() + 1);
         links.most.set(links.most.get().max(links.open.get()));
