--- a/review/standins/src/cases/crowded_discovery.rs
+++ b/review/standins/src/cases/crowded_discovery.rs
@@ -1,5 +1,5 @@
-//! Discovery has too many callers: watches end, and calls fail with `503` after they have waited in its queue. Meanwhile an
-//! upstream begins to drain.
+//! Discovery has too many callers, as after a restart of many balancers at once: calls fail with `503` after they have waited
+//! in its queue. Meanwhile an upstream begins to drain. The balancer of this case is one of those that have restarted.
 
 use std::io;
 use std::net::SocketAddr;
@@ -14,6 +14,7 @@
 use crate::discovery::Crowd;
 use crate::record::Record;
 use crate::settings::{GATEWAY_NORTE_SERVICES, Site, entry, list};
+use crate::upstream::Upstream;
 use crate::{Verdict, has_trouble};
 
 const SITE: Site = Site {
@@ -27,14 +28,16 @@
 /// Usual clients, and the pause of each between an answer and its next request.
 const CLIENTS: usize = 8;
 const CLIENT_PAUSE: Duration = Duration::from_millis(100);
-/// How long all is well.
-const QUIET_TIME: Duration = Duration::from_secs(2);
-/// How long after the beginning of the crowd an upstream begins to drain.
-const DRAIN_AFTER: Duration = Duration::from_secs(1);
-/// How long discovery has too many callers.
-const CROWD_TIME: Duration = Duration::from_secs(15);
-/// The calls of a fleet of 300 balancers, each about every 1.5 s.
-const ARRIVAL_GAP: Duration = Duration::from_millis(5);
+/// How long after its start the balancer has clients when an upstream begins to drain.
+const DRAIN_AFTER: Duration = Duration::from_secs(2);
+/// How long after the drain the run ends.
+const RUN_AFTER_DRAIN: Duration = Duration::from_secs(14);
+/// How long discovery has too many callers: until the end of the run.
+const CROWD_TIME: Duration = Duration::from_secs(60);
+/// The calls of the other balancers: seven in ten of 900 (STANDING), each about every 1.6 s.
+const ARRIVAL_GAP: Duration = Duration::from_micros(2500);
+/// How long discovery has been crowded when this balancer starts.
+const CROWDED_SINCE: Duration = Duration::from_millis(5123);
 /// `timeout_ms` of gateway-norte's discovery.
 const PATIENCE: Duration = Duration::from_millis(1000);
 /// 60 lines at 200 lines a second (BRIEF).
@@ -48,15 +51,8 @@
 pub fn play() -> io::Result<Verdict> {
     let record = Record::create()?;
     let fleet = Fleet::start(UPSTREAMS, SERVICE_TIME, &record)?;
-    let balancer = Balancer::start(&SITE, fleet.discovery.address, &fleet.known, &record)?;
-    let is_over = Arc::new(AtomicBool::new(false));
-    for number in 0..CLIENTS {
-        let (address, is_over, record) = (balancer.address, is_over.clone(), record.clone());
-        thread::spawn(move || ask_steadily(address, number, &is_over, &record));
-    }
-    thread::sleep(QUIET_TIME);
     if has_trouble() {
-        let from = Instant::now();
+        let from = Instant::now() - CROWDED_SINCE;
         fleet.discovery.set_crowd(Crowd {
             from,
             until: from + CROWD_TIME,
@@ -66,15 +62,22 @@
         });
         record.note("discovery has too many callers");
     }
+    let balancer = Balancer::start(&SITE, fleet.discovery.address, &fleet.known, &record)?;
+    let is_over = Arc::new(AtomicBool::new(false));
+    for number in 0..CLIENTS {
+        let (address, is_over, record) = (balancer.address, is_over.clone(), record.clone());
+        thread::spawn(move || ask_steadily(address, number, &is_over, &record));
+    }
     thread::sleep(DRAIN_AFTER);
     let drained_at = Instant::now();
-    let drained = &fleet.upstreams[0];
-    let phase = |index| if index == 0 { "DRAINING" } else { "SERVING" };
-    let upstreams = fleet.upstreams.iter().enumerate();
-    let entries: Vec<String> = upstreams.map(|(index, u)| entry(u, phase(index))).collect();
+    let drained = busiest(&fleet)?;
+    let phase = |upstream: &Upstream| {
+        if upstream.name == drained.name { "DRAINING" } else { "SERVING" }
+    };
+    let entries: Vec<String> = fleet.upstreams.iter().map(|u| entry(u, phase(u))).collect();
     fleet.discovery.set_list(list(43, true, &entries));
     record.note(format!("{} begins to drain", drained.name));
-    thread::sleep(CROWD_TIME - DRAIN_AFTER);
+    thread::sleep(RUN_AFTER_DRAIN);
     is_over.store(true, Ordering::Relaxed);
     let last_send = drained_at + TOLD_AFTER + DRAIN_GRACE + SOCKET_SLACK;
     let sends = fleet.arrivals();
@@ -101,6 +104,16 @@
     Ok(verdict(late.len(), &record))
 }
 
+/// Returns the upstream that has received most requests.
+fn busiest(fleet: &Fleet) -> io::Result<Upstream> {
+    let arrivals = fleet.arrivals();
+    let received = |upstream: &&Upstream| {
+        arrivals.iter().filter(|arrival| arrival.upstream == upstream.name).count()
+    };
+    let busiest = fleet.upstreams.iter().max_by_key(received).cloned();
+    busiest.ok_or_else(|| io::Error::other("no upstream"))
+}
+
 /// Asks again and again on one connection, and opens another if the balancer closes it.
 fn ask_steadily(balancer: SocketAddr, number: usize, is_over: &AtomicBool, record: &Record) {
     let mut client = Client::connect(balancer).ok();
--- a/review/standins/src/discovery.rs
+++ b/review/standins/src/discovery.rs
@@ -1,8 +1,8 @@
-//! Discovery: answers each call for a watch with the complete list and, every 2 s, an empty line. While it is crowded, its
-//! open watches are reset, and each call waits in its queue.
+//! Discovery: answers each call for a watch with the complete list and, every 2 s, an empty line. While it is crowded, each
+//! call waits in its queue.
 
 use std::io::{self, BufReader, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -116,11 +116,11 @@
                 return writer.write_all(response("503 Service Unavailable", "").as_bytes());
             }
         }
-        self.watch(writer, called_at)
+        self.watch(writer)
     }
 
     /// Writes the list, each later list, and heartbeats, until the watch ends.
-    fn watch(&self, mut writer: TcpStream, called_at: Instant) -> io::Result<()> {
+    fn watch(&self, mut writer: TcpStream) -> io::Result<()> {
         writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let (mut written, mut written_at) = (None, Instant::now());
         loop {
@@ -133,10 +133,6 @@
                 write_chunk(&mut writer, "\n")?;
                 written_at = Instant::now();
             }
-            if self.current_crowd().is_some_and(|crowd| called_at < crowd.from) {
-                self.record.note("discovery ended a watch");
-                return writer.shutdown(Shutdown::Both);
-            }
             thread::sleep(WATCH_POLL);
         }
     }
--- a/review/standins/src/settings.rs
+++ b/review/standins/src/settings.rs
@@ -1,6 +1,7 @@
 //! The configuration that the platform gives a balancer, with the settings of a small deployment.
 
 use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::upstream::Upstream;
 
@@ -50,9 +51,12 @@
 impl Site {
     /// Returns the text of the configuration file.
     pub fn config(&self, listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+        // "new with each start" (DEPLOY).
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let seed = since_epoch.as_nanos() as u64;
         let Self { registry_mode, services, tenants, sockets } = self;
         format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
 "known":{known},
 "settings":{{"Balancers":1,"Position":0,"Layer":0,"Tick":5.0,"Zone":0,"Zones":["a"],"MachineTypes":["fast-1c","std-1c"],
