--- a/review/standins/src/cases/backlog.rs
+++ b/review/standins/src/cases/backlog.rs
@@ -50,7 +50,10 @@
 
 /// How the client's wait ended.
 enum End {
-    Answered { status: u16, after: Duration },
+    Answered {
+        status: u16,
+        after: Duration,
+    },
     /// The balancer closed the connection without an answer.
     Closed,
     /// Nothing came until half a second after the client's time.
@@ -98,13 +101,8 @@
             return;
         }
         let id = format!("steady-{number}-{count}");
-        let request = Request {
-            id: &id,
-            class: "reading-sync",
-            tenant: None,
-            deadline_ms: 2800,
-            body: None,
-        };
+        let request =
+            Request { id: &id, class: "reading-sync", tenant: None, deadline_ms: 2800, body: None };
         let answer = client.as_mut().and_then(|client| {
             client.send(&request.text()).ok()?;
             client.answer_within(Duration::from_secs(4)).ok()?
--- a/review/standins/src/cases/crowded_discovery.rs
+++ b/review/standins/src/cases/crowded_discovery.rs
@@ -30,8 +30,9 @@
 const CLIENT_PAUSE: Duration = Duration::from_millis(100);
 /// How long after its start the balancer has clients when an upstream begins to drain.
 const DRAIN_AFTER: Duration = Duration::from_secs(2);
-/// How long after the drain the run ends.
-const RUN_AFTER_DRAIN: Duration = Duration::from_secs(14);
+/// How long after the beginning of its drain the upstream ends, and after that the run.
+const END_AFTER: Duration = Duration::from_secs(11);
+const RUN_AFTER_END: Duration = Duration::from_secs(2);
 /// How long discovery has too many callers: until the end of the run.
 const CROWD_TIME: Duration = Duration::from_secs(60);
 /// The calls of the other balancers: seven in ten of 900 (STANDING), each about every 1.6 s.
@@ -77,7 +78,10 @@
     let entries: Vec<String> = fleet.upstreams.iter().map(|u| entry(u, phase(u))).collect();
     fleet.discovery.set_list(list(43, true, &entries));
     record.note(format!("{} begins to drain", drained.name));
-    thread::sleep(RUN_AFTER_DRAIN);
+    thread::sleep(END_AFTER);
+    drained.end();
+    record.note(format!("{} ends", drained.name));
+    thread::sleep(RUN_AFTER_END);
     is_over.store(true, Ordering::Relaxed);
     let last_send = drained_at + TOLD_AFTER + DRAIN_GRACE + SOCKET_SLACK;
     let sends = fleet.arrivals();
@@ -122,12 +126,14 @@
             return;
         }
         let id = format!("steady-{number}-{count}");
+        // Every other request may not run twice.
+        let is_unsafe = count % 2 == 0;
         let request = Request {
             id: &id,
-            class: "reading-sync",
+            class: if is_unsafe { "alarm-raise" } else { "reading-sync" },
             tenant: None,
             deadline_ms: 2800,
-            body: None,
+            body: is_unsafe.then_some("a door is open"),
         };
         let answer = client.as_mut().and_then(|client| {
             client.send(&request.text()).ok()?;
--- a/review/standins/src/cases/full_table.rs
+++ b/review/standins/src/cases/full_table.rs
@@ -41,7 +41,10 @@
 
 /// How the wait for an answer ended.
 enum End {
-    Answered { status: u16, after: Duration },
+    Answered {
+        status: u16,
+        after: Duration,
+    },
     /// The balancer closed or reset the connection without an answer.
     Closed,
     /// Nothing came until half a second after the client's time.
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -32,9 +32,8 @@
     /// Starts `count` upstreams that serve each request in `service_time`.
     fn start(count: usize, service_time: Duration, record: &Record) -> io::Result<Self> {
         let arrivals = Arrivals::default();
-        let start = |number| {
-            Upstream::start(&format!("s-{number}"), service_time, &arrivals, record)
-        };
+        let start =
+            |number| Upstream::start(&format!("s-{number}"), service_time, &arrivals, record);
         let upstreams = (0..count).map(start).collect::<io::Result<Vec<_>>>()?;
         let entries: Vec<String> = upstreams.iter().map(|u| entry(u, "SERVING")).collect();
         let discovery = Discovery::start(list(42, true, &entries), record)?;
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -25,9 +25,8 @@
     pub fn text(&self) -> String {
         let method = if self.body.is_some() { "POST" } else { "GET" };
         let tenant = self.tenant.map_or(String::new(), |name| format!("X-Tenant: {name}\r\n"));
-        let length = self
-            .body
-            .map_or(String::new(), |body| format!("Content-Length: {}\r\n", body.len()));
+        let length =
+            self.body.map_or(String::new(), |body| format!("Content-Length: {}\r\n", body.len()));
         format!(
             "{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {}\r\nX-Class: {}\r\n\
              {tenant}X-Deadline-Ms: {}\r\n{length}\r\n{}",
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,6 +33,7 @@
     pub name: String,
     /// Address in the list of discovery.
     pub address: SocketAddr,
+    has_ended: Arc<AtomicBool>,
 }
 
 /// The state that the connections of one upstream share.
@@ -40,6 +42,7 @@
     name: String,
     time: Duration,
     arrivals: Arrivals,
+    has_ended: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -53,10 +56,12 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
+        let has_ended = Arc::<AtomicBool>::default();
         let service = Service {
             name: name.to_string(),
             time,
             arrivals: arrivals.clone(),
+            has_ended: has_ended.clone(),
             record: record.clone(),
         };
         thread::spawn(move || {
@@ -65,7 +70,12 @@
                 thread::spawn(move || service.serve(stream));
             }
         });
-        Ok(Self { name: name.to_string(), address })
+        Ok(Self { name: name.to_string(), address, has_ended })
+    }
+
+    /// Ends the upstream: from now on each connection is closed, and no request is answered.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
     }
 }
 
@@ -86,6 +96,10 @@
                 arrivals.push(arrival);
             }
             thread::sleep(self.time);
+            if self.has_ended.load(Ordering::Relaxed) {
+                self.record.note(format!("upstream {} ended and did not finish {id}", self.name));
+                return Ok(());
+            }
             let body = format!("{} for {id}", self.name);
             writer.write_all(response("200 OK", &body).as_bytes())?;
             self.record.note(format!("upstream {} ran {id}", self.name));
