--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -4,6 +4,7 @@
 pub mod crowded_discovery;
 pub mod foreign_id;
 pub mod full_table;
+pub mod second_answer;
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,6 +11,7 @@
 mod client;
 mod discovery;
 mod http;
+mod link;
 mod record;
 mod settings;
 mod upstream;
@@ -33,6 +34,7 @@
     let verdict = match case.as_str() {
         "full-table" => cases::full_table::play(),
         "backlog" => cases::backlog::play(),
+        "second-answer" => cases::second_answer::play(),
         "foreign-id" => cases::foreign_id::play(),
         "crowded-discovery" => cases::crowded_discovery::play(),
         other => Err(std::io::Error::other(format!("no case named {other:?}"))),
--- a/review/standins/src/settings.rs
+++ b/review/standins/src/settings.rs
@@ -7,9 +7,13 @@
 
 /// An entry of the list of upstreams, in discovery's form.
 pub fn entry(upstream: &Upstream, phase: &str) -> String {
+    entry_at(&upstream.name, upstream.address, phase)
+}
+
+/// An entry of the list for an upstream of this name at this address.
+pub fn entry_at(name: &str, address: SocketAddr, phase: &str) -> String {
     format!(
-        r#"{{"id":"{}","host_port":"{}","locality":"a","flavor":"fast-1c","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#,
-        upstream.name, upstream.address
+        r#"{{"id":"{name}","host_port":"{address}","locality":"a","flavor":"fast-1c","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
     )
 }
 
