--- a/crates/gateway/src/clients/client_connection.rs
+++ b/crates/gateway/src/clients/client_connection.rs
@@ -18,7 +18,7 @@
 
 use super::ClientServer;
 use super::response::{self, ClientResponse};
-use crate::closing::{CloseReason, close};
+use crate::closing::{CloseReason, close, close_at_once};
 use crate::connections::{Connection, ConnectionSlot};
 use crate::http::{MAX_HEAD_BYTES, MAX_HEADER_LINES};
 use crate::invariants::{Invariant, Violations};
@@ -152,12 +152,15 @@
         let state = slot.connection();
         let mode = state.close_mode(reason);
         tracing::debug!(connection = slot.id(), ?reason, ?mode, "connection closing");
-        // If the next client needs the slot, the connection is closed without lingering.
-        let is_slot_needed = state.is_evicted() && self.connections.is_full();
+        if state.is_evicted() && self.connections.is_full() {
+            // The next client needs the slot.
+            close_at_once(&client.stream, mode).await;
+            return;
+        }
         state.start_closing();
         tokio::select! {
             biased;
-            () = close(&client.stream, mode), if !is_slot_needed => {}
+            () = close(&client.stream, mode) => {}
             () = state.evicted() => {}
         }
     }
--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -5,8 +5,9 @@
 //! contrast, further bytes are read and dropped, since a reset could destroy that response (RFC 9112, 9.6).
 
 use std::future::poll_fn;
+use std::io::Result;
 use std::pin::Pin;
-use std::task::Context;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -54,12 +55,10 @@
 pub async fn close(stream: &SharedStream, mode: CloseMode) {
     if mode == CloseMode::UnfinishedHead {
         // The response is written completely or not at all, since this mode implies that no other bytes wait to be written.
-        let response = |cx: &mut Context<'_>| {
-            Pin::new(&mut *stream.borrow_mut()).poll_write(cx, HEAD_TIMEOUT_RESPONSE)
-        };
+        let response = |cx: &mut Context<'_>| poll_write_timeout_response(stream, cx);
         let _ = timeout(RESET_DELAY, poll_fn(response)).await;
     }
-    let _ = poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_shutdown(cx)).await;
+    let _ = poll_fn(|cx| poll_shutdown(stream, cx)).await;
     let _ = match mode {
         CloseMode::AfterResponse | CloseMode::UnfinishedHead => {
             timeout(LINGER_TIME, drain(stream)).await
@@ -68,6 +67,26 @@
     };
 }
 
+/// Shuts down the write side of `stream` without waiting for the client. The caller drops the stream next.
+pub async fn close_at_once(stream: &SharedStream, mode: CloseMode) {
+    poll_fn(|cx| {
+        if mode == CloseMode::UnfinishedHead {
+            let _ = poll_write_timeout_response(stream, cx);
+        }
+        let _ = poll_shutdown(stream, cx);
+        Poll::Ready(())
+    })
+    .await;
+}
+
+fn poll_write_timeout_response(stream: &SharedStream, cx: &mut Context<'_>) -> Poll<Result<usize>> {
+    Pin::new(&mut *stream.borrow_mut()).poll_write(cx, HEAD_TIMEOUT_RESPONSE)
+}
+
+fn poll_shutdown(stream: &SharedStream, cx: &mut Context<'_>) -> Poll<Result<()>> {
+    Pin::new(&mut *stream.borrow_mut()).poll_shutdown(cx)
+}
+
 /// Reads and drops further bytes, up to [`MAX_LINGER_BYTES`].
 async fn drain(stream: &SharedStream) {
     let mut discarded = vec![0; MAX_HEAD_BYTES];
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -35,7 +35,8 @@
     state: Cell<State>,
     /// Whether a response has announced that the connection closes after it.
     is_close_announced: Cell<bool>,
-    evicted: Notify,
+    /// Wakes the connection's task after an eviction. The state tells whether the eviction still holds.
+    eviction_changed: Notify,
 }
 
 #[derive(Clone, Copy)]
@@ -182,16 +183,14 @@
 
     fn evict(&self) {
         self.state.set(State::Evicted { head_begun: self.has_begun_head() });
-        self.evicted.notify_one();
+        self.eviction_changed.notify_one();
     }
 
-    /// Completes once the connection is evicted. A request that arrives before the eviction is noticed cancels it.
+    /// Completes once the connection is evicted, for each caller. A request that arrives before the eviction is noticed
+    /// cancels it.
     pub async fn evicted(&self) {
-        loop {
-            self.evicted.notified().await;
-            if matches!(self.state.get(), State::Evicted { .. } | State::Closing { .. }) {
-                return;
-            }
+        while !self.is_evicted() {
+            self.eviction_changed.notified().await;
         }
     }
 
@@ -297,6 +296,7 @@
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
+        tracing::debug!(connection = self.0.id, "connection closed");
         self.0.connections.open.borrow_mut().remove(&self.0.id);
     }
 }
@@ -344,7 +344,7 @@
             traffic,
             state: Cell::new(State::New { since: Instant::now(), head_begun: None }),
             is_close_announced: Cell::new(false),
-            evicted: Notify::new(),
+            eviction_changed: Notify::new(),
         });
         self.open.borrow_mut().insert(id, connection.clone());
         ConnectionSlot(Slot { connection, connections: self.clone(), id })
--- a/crates/gateway/src/connections/tests.rs
+++ b/crates/gateway/src/connections/tests.rs
@@ -58,6 +58,33 @@
     assert!(!is_evicted(&slot).await);
 }
 
+// Failure: the first wait consumed the notification, so that the task that had to close the connection waited for another one.
+#[tokio::test(start_paused = true)]
+async fn eviction_completes_every_wait_for_it() {
+    let all = Connections::new(1, 1);
+    let slot = all.open(Traffic::default());
+    advance(MIN_SILENCE_BEFORE_EVICTION).await;
+    all.evict();
+    assert!(timeout(Duration::ZERO, slot.connection().overdue()).await.is_ok());
+    assert!(is_evicted(&slot).await);
+}
+
+// Failure: the notification of an eviction that a request had cancelled ended the close behind that request's response.
+#[tokio::test(start_paused = true)]
+async fn cancelled_eviction_does_not_end_a_later_close() {
+    let all = Connections::new(1, 1);
+    let slot = all.open(Traffic::default());
+    slot.finish_request();
+    advance(MIN_IDLE_BEFORE_EVICTION).await;
+    all.evict();
+    slot.connection().start_request();
+    slot.connection().start_closing();
+    assert!(!is_evicted(&slot).await);
+    advance(MIN_SILENCE_BEFORE_EVICTION).await;
+    all.evict();
+    assert!(is_evicted(&slot).await, "a closing connection can be evicted");
+}
+
 #[tokio::test(start_paused = true)]
 async fn streamed_response_lasts_as_long_as_its_client_reads() {
     let (all, traffic) = (Connections::new(1, 1), Traffic::default());
--- /dev/null
+++ b/tests/node/full_table.rs
@@ -0,0 +1,84 @@
+//! More clients than the daemon has slots for: which connections are closed, and what the others get.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use crate::start;
+use hollowpaddle_rehearsal::scripted::*;
+use serde_json::{Value, json};
+
+/// Descriptors of the daemon. The half that is not reserved belongs to clients.
+const DESCRIPTORS: usize = 128;
+/// Slots for clients that follow from [`DESCRIPTORS`].
+const SLOTS: usize = (DESCRIPTORS - 24) / 2;
+/// How long an idle connection is safe from eviction.
+const EVICTABLE_AFTER: Duration = Duration::from_secs(2);
+/// A final answer is owed half a second after its deadline (STANDING).
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+fn small_config(upstream: &Upstream) -> Value {
+    let mut config = config(members(&[upstream]));
+    config["limits"]["sockets"] = json!(DESCRIPTORS);
+    config
+}
+
+fn connect(node: &Node) -> TcpStream {
+    TcpStream::connect(node.address).expect("the backlog has room")
+}
+
+/// Opens connections on which nothing is sent.
+fn connect_silent(node: &Node, count: usize) -> Vec<TcpStream> {
+    (0..count).map(|_| connect(node)).collect()
+}
+
+/// How the wait for an answer ended.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    Answered,
+    /// The connection ended without an answer.
+    Closed,
+    /// The connection stayed open without an answer.
+    Neither,
+}
+
+/// Sends a request with this deadline, and waits until its answer is overdue.
+fn ask(stream: &mut TcpStream, id: &str, deadline: Duration) -> End {
+    if stream.write_all(read(id, deadline.as_millis() as u64).as_bytes()).is_err() {
+        return End::Closed;
+    }
+    stream.set_read_timeout(Some(deadline + ANSWER_SLACK)).expect("a limit");
+    match stream.read(&mut [0; 4096]) {
+        Ok(0) => End::Closed,
+        Ok(_) => End::Answered,
+        Err(cause) if cause.kind() == std::io::ErrorKind::WouldBlock => End::Neither,
+        Err(_) => End::Closed,
+    }
+}
+
+// Failure: an idle connection that was evicted from a full table stayed open, and nobody read it, so that a request on it got
+// neither an answer nor a close.
+#[test]
+fn evicted_idle_connection_is_closed_or_its_request_is_answered() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = start(&small_config(&upstream));
+    let deadline = Duration::from_secs(2);
+    let mut idle: Vec<TcpStream> = (0..SLOTS / 2).map(|_| connect(&node)).collect();
+    for (i, stream) in idle.iter_mut().enumerate() {
+        assert_eq!(ask(stream, &format!("first-{i}"), deadline), End::Answered);
+    }
+    std::thread::sleep(EVICTABLE_AFTER);
+    let _silent = connect_silent(&node, SLOTS / 2 + SLOTS / 4);
+    // The table is full by now, and idle connections are evicted.
+    std::thread::sleep(Duration::from_millis(100));
+    let clients: Vec<_> = idle
+        .into_iter()
+        .enumerate()
+        .map(|(i, mut stream)| {
+            std::thread::spawn(move || ask(&mut stream, &format!("second-{i}"), deadline))
+        })
+        .collect();
+    for (i, client) in clients.into_iter().enumerate() {
+        assert_ne!(client.join().expect("no panic"), End::Neither, "client {i}");
+    }
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod bad_clients;
 mod bodies;
 mod forms;
+mod full_table;
 mod leaving;
 mod operators;
 mod reload;
