--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 //! | module | job |
 //! | --- | --- |
 //! | `accept` | accepts connections, from the start until after SIGTERM |
+//! | `backlog` | bounds the time that a connection has waited to be accepted |
 //! | `client_connection` | serves one connection until it closes |
 //! | `intake` | receives a request, checks its head, and submits the request to the engine |
 //! | `request_head` | validates the head of a request, and derives the head for upstreams |
@@ -12,6 +13,7 @@
 //! The module `connections` enforces the timeouts of connections and evicts them; `closing` closes them.
 
 mod accept;
+mod backlog;
 mod client_connection;
 mod intake;
 mod open_ids;
@@ -30,7 +32,6 @@
 use crate::config::{Budget, Config};
 use crate::connections::Connections;
 use crate::engine::EngineHandle;
-use crate::stall_detector::StallDetector;
 use crate::tasks::CloseSignal;
 use open_ids::OpenIds;
 
@@ -50,7 +51,6 @@
     connections: Rc<Connections>,
     open_ids: OpenIds,
     body_memory: MemoryBudget,
-    stall_detector: Rc<StallDetector>,
     /// Whether the process is shutting down.
     is_stopping: Cell<bool>,
     /// When all requests must be answered, if the process is shutting down.
@@ -91,7 +91,6 @@
             connections: Connections::new(budget.clients, budget.idle_close_threshold),
             open_ids: OpenIds::default(),
             body_memory: MemoryBudget::new(config.memory / BODY_MEMORY_DIVISOR),
-            stall_detector: Rc::default(),
             is_stopping: Cell::new(false),
             answer_deadline: Cell::new(None),
             is_quiesced: Cell::new(false),
--- a/crates/gateway/src/clients/accept.rs
+++ b/crates/gateway/src/clients/accept.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowpaddle_net::{AcceptFailure, Listener, accept};
+use hollowpaddle_net::{AcceptFailure, Listener};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::ClientServer;
+use super::backlog::Backlog;
 
 /// How long connections are still accepted after SIGTERM, until the front has noticed the changed readiness.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(500);
@@ -65,17 +66,18 @@
     /// `has_successor` returns true, the connections in the backlog are left to the process that succeeds this one.
     pub async fn serve(
         self: Rc<Self>,
-        mut listener: Box<dyn Listener>,
+        listener: Box<dyn Listener>,
         open: impl Future<Output = ()>,
         stop: impl Future<Output = ()>,
         has_successor: impl Fn() -> bool,
     ) {
         let has_opened = Cell::new(false);
+        let mut backlog = Backlog::new(listener);
         {
             let accepting = async {
                 open.await;
                 has_opened.set(true);
-                self.accept_forever(&mut *listener).await;
+                self.accept_forever(&mut backlog).await;
             };
             tokio::pin!(accepting);
             tokio::select! {
@@ -93,9 +95,9 @@
         if has_opened.get() && !has_successor() {
             // Closed connections free slots for those in the backlog.
             self.close_connections();
-            self.accept_backlog(&mut *listener).await;
+            self.accept_backlog(&mut backlog).await;
         }
-        drop(listener);
+        drop(backlog);
         self.close_connections();
         self.finish_connections().await;
     }
@@ -124,18 +126,18 @@
         let _ = timeout(STREAMING_SHUTDOWN_TIME, streaming).await;
     }
 
-    async fn accept_forever(self: &Rc<Self>, listener: &mut dyn Listener) {
+    async fn accept_forever(self: &Rc<Self>, backlog: &mut Backlog) {
         loop {
-            self.accept_one(listener).await.back_off().await;
+            self.accept_one(backlog).await.back_off().await;
         }
     }
 
     /// Accepts the connections that are left in the backlog at the end.
-    async fn accept_backlog(self: &Rc<Self>, listener: &mut dyn Listener) {
+    async fn accept_backlog(self: &Rc<Self>, backlog: &mut Backlog) {
         let started_at = Instant::now();
         let mut until = started_at + BACKLOG_TIME;
         while Instant::now() < until {
-            let accepted = timeout(BACKLOG_EMPTY_AFTER, self.accept_one(listener)).await;
+            let accepted = timeout(BACKLOG_EMPTY_AFTER, self.accept_one(backlog)).await;
             let Ok(accepted) = accepted else { return };
             if accepted != AcceptOutcome::Connection {
                 until = started_at + BACKLOG_TIME_AFTER_FAILURE;
@@ -145,15 +147,15 @@
         tracing::warn!("backlog not empty at shutdown");
     }
 
-    async fn accept_one(self: &Rc<Self>, listener: &mut dyn Listener) -> AcceptOutcome {
+    async fn accept_one(self: &Rc<Self>, backlog: &mut Backlog) -> AcceptOutcome {
         // A connection left in the backlog waits for a moment; accepted without a free slot, it would have to be dropped.
         if self.connections.is_full() {
             self.connections.evict();
             return AcceptOutcome::NoSlot;
         }
-        match accept(listener).await {
-            Ok((stream, _)) => {
-                self.serve_connection(stream);
+        match backlog.accept().await {
+            Ok(accepted) => {
+                self.serve_connection(accepted.stream, accepted.max_wait);
                 AcceptOutcome::Connection
             }
             Err(cause) => {
--- a/crates/gateway/src/clients/client_connection.rs
+++ b/crates/gateway/src/clients/client_connection.rs
@@ -22,9 +22,10 @@
 use crate::connections::{Connection, ConnectionSlot};
 use crate::http::{MAX_HEAD_BYTES, MAX_HEADER_LINES};
 use crate::invariants::{Invariant, Violations};
+use crate::receive_time::{AcceptedConnection, HeadTime, ReceiveClock};
 use crate::response_body::ResponseBody;
 use crate::shared_stream::SharedStream;
-use crate::stream::{ObservedStream, RawHead, ReadAhead};
+use crate::stream::{ObservedStream, RawHead, ReadAhead, Traffic};
 use crate::tasks::CloseSignal;
 
 /// How long a connection without a request so far stays open after a close is requested. Clients send their first request
@@ -36,6 +37,7 @@
 /// The state of a client's connection that its requests use.
 pub(super) struct ClientStream {
     pub(super) stream: SharedStream,
+    pub(super) traffic: Traffic,
     pub(super) raw_head: RawHead,
     pub(super) read_ahead: ReadAhead,
 }
@@ -71,28 +73,29 @@
 }
 
 impl ClientServer {
-    /// Spawns a task that serves an accepted connection.
-    pub(super) fn serve_connection(self: &Rc<Self>, stream: Box<dyn Stream>) {
+    /// Spawns a task that serves an accepted connection. The connection has waited in the backlog for `max_wait` at most.
+    pub(super) fn serve_connection(self: &Rc<Self>, stream: Box<dyn Stream>, max_wait: Duration) {
+        let accepted = AcceptedConnection::examine(&*stream, max_wait);
         let (io, stream, traffic) = ObservedStream::new(stream);
         // The slot and the signal are taken here and not in the task: the slot must count before the next connection is
         // accepted, and a task that first runs after a close signal would wait for a later signal that is never sent.
-        let slot = self.connections.open(traffic);
+        let slot = self.connections.open(traffic.clone(), accepted.silent_since);
         let close_signal = self.close_signal.borrow().clone();
-        tokio::task::spawn_local(self.clone().serve_and_close(io, stream, slot, close_signal));
+        let raw_head = RawHead::default();
+        let read_ahead = ReadAhead::new(ReceiveClock::new(&accepted));
+        let io = io.with_capture(&raw_head, &read_ahead);
+        let client = ClientStream { stream, traffic, raw_head, read_ahead };
+        tokio::task::spawn_local(self.clone().serve_and_close(io, client, slot, close_signal));
     }
 
     /// Serves all requests of one connection, then closes the connection.
     async fn serve_and_close(
         self: Rc<Self>,
         io: ObservedStream,
-        stream: SharedStream,
+        client: ClientStream,
         slot: ConnectionSlot,
         close_signal: Rc<CloseSignal>,
     ) {
-        let raw_head = RawHead::new(&self.stall_detector);
-        let read_ahead = ReadAhead::default();
-        let io = io.with_capture(&raw_head, &read_ahead);
-        let client = ClientStream { stream, raw_head, read_ahead };
         let reason = self.serve_requests(io, &client, &slot, &close_signal).await;
         let Some(reason) = reason else { return };
         self.close_connection(&client, &slot, reason).await;
@@ -107,7 +110,11 @@
         close_signal: &CloseSignal,
     ) -> Option<CloseReason> {
         let state = slot.connection();
-        let service = service_fn(|request| self.respond(request, slot, client));
+        let service = service_fn(|request| {
+            // The HTTP library calls this as soon as it has the head, and reads on before it polls the response.
+            let head_time = HeadTime::new(client.traffic.received_at());
+            self.respond(request, slot, client, head_time)
+        });
         let connection = http1::Builder::new()
             .header_read_timeout(None) // The module `connections` enforces the timeouts.
             .max_buf_size(MAX_HEAD_BYTES)
@@ -171,12 +178,13 @@
         request: Request<Incoming>,
         slot: &ConnectionSlot,
         client: &ClientStream,
+        head_time: HeadTime,
     ) -> Result<ClientResponse, Infallible> {
         client.raw_head.stop();
         client.read_ahead.start_request();
         slot.connection().start_request();
         let mut check = ResponseCheck::new(self.engine.violations(), client);
-        let mut response = self.route(request, client).await;
+        let mut response = self.route(request, client, head_time).await;
         // Bytes that follow an invalid request on its connection can't be interpreted.
         let is_invalid = response.status().is_client_error() || client.read_ahead.has_overflowed();
         if self.is_quiesced_or_stopping() || is_invalid {
@@ -193,13 +201,18 @@
         Ok(response)
     }
 
-    async fn route(&self, request: Request<Incoming>, client: &ClientStream) -> ClientResponse {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        client: &ClientStream,
+        head_time: HeadTime,
+    ) -> ClientResponse {
         let path = request.uri().path();
         if path == "/-/ready" {
             return response::empty(self.readiness());
         }
         if path == "/api" || path.starts_with("/api/") {
-            return self.answer_api(request, client).await;
+            return self.answer_api(request, client, head_time).await;
         }
         response::empty(StatusCode::NOT_FOUND)
     }
--- a/crates/gateway/src/clients/intake.rs
+++ b/crates/gateway/src/clients/intake.rs
@@ -18,6 +18,7 @@
 use crate::cancellation::Cancellation;
 use crate::engine::Arrival;
 use crate::forwarded_request::{ForwardedBody, ForwardedRequest};
+use crate::receive_time::HeadTime;
 use crate::shared_stream::SharedStream;
 use crate::streamed_body::StreamedBody;
 
@@ -47,6 +48,7 @@
         &self,
         request: Request<Incoming>,
         client: &ClientStream,
+        head_time: HeadTime,
     ) -> ClientResponse {
         let (head, body) = request.into_parts();
         if let Err(error) = request_head::check(&head, &client.raw_head) {
@@ -56,14 +58,13 @@
             Ok(ready) => ready,
             Err(error) => return response::from_body_error(error),
         };
-        // The deadline of a request counts from the arrival of its last byte (PROTOCOL, 'Figures'), even if this process
-        // stalled before reading that byte. For a streamed body, the engine restarts the deadline at the end of the body.
-        let now = Instant::now();
-        let received_at = now.checked_sub(client.raw_head.read_delay()).unwrap_or(now);
         let Some(_open_id) = self.open_ids.open(&head.headers) else {
             return response::empty(StatusCode::CONFLICT);
         };
         let has_no_body = ready.length == Some(0);
+        // The deadline of a request counts from the arrival of its last byte (PROTOCOL, 'Figures'), however long that byte
+        // waited to be read. For a streamed body, the engine restarts the deadline at the end of the body.
+        let received_at = head_time.end_of_request(has_no_body, client.traffic.received_at());
         let arrival = match self.arrival(&head, has_no_body, received_at, &client.stream) {
             Ok(arrival) => arrival,
             Err(error) => return response::malformed(error),
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -41,7 +41,7 @@
 
 #[derive(Clone, Copy)]
 enum State {
-    /// No request was received yet. `head_begun` is when the first head began.
+    /// No request was received yet. The client is silent since `since`; `head_begun` is when the first head began.
     New { since: Instant, head_begun: Option<Instant> },
     /// A request is open.
     RequestOpen,
@@ -127,7 +127,7 @@
                 if self.traffic.bytes_read() == 0 {
                     return Some(since + HEAD_TIMEOUT);
                 }
-                let head_begun = head_begun.unwrap_or_else(Instant::now);
+                let head_begun = head_begun.unwrap_or_else(|| self.traffic.received_at());
                 self.state.set(State::New { since, head_begun: Some(head_begun) });
                 Some(head_begun + HEAD_TIMEOUT)
             }
@@ -145,7 +145,7 @@
                 if self.traffic.bytes_read() == read {
                     return Some(since + IDLE_TIMEOUT);
                 }
-                let head_begun = head_begun.unwrap_or_else(Instant::now);
+                let head_begun = head_begun.unwrap_or_else(|| self.traffic.received_at());
                 self.state.set(State::Idle { since, read, head_begun: Some(head_begun) });
                 Some(head_begun + HEAD_TIMEOUT)
             }
@@ -337,12 +337,12 @@
                 > self.max_in_use_with_idle
     }
 
-    /// Allocates a slot for a new connection.
-    pub fn open(self: &Rc<Self>, traffic: Traffic) -> ConnectionSlot {
+    /// Allocates a slot for a new connection, whose client may have been silent since `silent_since`.
+    pub fn open(self: &Rc<Self>, traffic: Traffic, silent_since: Instant) -> ConnectionSlot {
         let id = self.next_id.replace(self.next_id.get() + 1);
         let connection = Rc::new(Connection {
             traffic,
-            state: Cell::new(State::New { since: Instant::now(), head_begun: None }),
+            state: Cell::new(State::New { since: silent_since, head_begun: None }),
             is_close_announced: Cell::new(false),
             eviction_changed: Notify::new(),
         });
--- a/crates/gateway/src/connections/tests.rs
+++ b/crates/gateway/src/connections/tests.rs
@@ -11,7 +11,8 @@
 #[tokio::test(start_paused = true)]
 async fn longest_idle_connection_is_evicted_and_none_with_an_open_request() {
     let all = Connections::new(3, 3);
-    let slots: Vec<ConnectionSlot> = (0..3).map(|_| all.open(Traffic::default())).collect();
+    let slots: Vec<ConnectionSlot> =
+        (0..3).map(|_| all.open(Traffic::default(), Instant::now())).collect();
     assert!(all.is_full());
     slots[0].connection().start_request();
     all.evict();
@@ -34,7 +35,7 @@
     let all = Connections::new(100, 4);
     let mut slots = Vec::new();
     for _ in 0..10 {
-        let slot = all.open(Traffic::default());
+        let slot = all.open(Traffic::default(), Instant::now());
         slot.connection().start_request();
         advance(Duration::from_millis(1)).await;
         slot.finish_request();
@@ -48,7 +49,7 @@
 #[tokio::test(start_paused = true)]
 async fn request_that_crosses_with_an_eviction_is_served() {
     let all = Connections::new(1, 1);
-    let slot = all.open(Traffic::default());
+    let slot = all.open(Traffic::default(), Instant::now());
     slot.finish_request();
     advance(MIN_IDLE_BEFORE_EVICTION).await;
     all.evict();
@@ -62,7 +63,7 @@
 #[tokio::test(start_paused = true)]
 async fn eviction_completes_every_wait_for_it() {
     let all = Connections::new(1, 1);
-    let slot = all.open(Traffic::default());
+    let slot = all.open(Traffic::default(), Instant::now());
     advance(MIN_SILENCE_BEFORE_EVICTION).await;
     all.evict();
     assert!(timeout(Duration::ZERO, slot.connection().overdue()).await.is_ok());
@@ -73,7 +74,7 @@
 #[tokio::test(start_paused = true)]
 async fn cancelled_eviction_does_not_end_a_later_close() {
     let all = Connections::new(1, 1);
-    let slot = all.open(Traffic::default());
+    let slot = all.open(Traffic::default(), Instant::now());
     slot.finish_request();
     advance(MIN_IDLE_BEFORE_EVICTION).await;
     all.evict();
@@ -88,7 +89,7 @@
 #[tokio::test(start_paused = true)]
 async fn streamed_response_lasts_as_long_as_its_client_reads() {
     let (all, traffic) = (Connections::new(1, 1), Traffic::default());
-    let slot = all.open(traffic.clone());
+    let slot = all.open(traffic.clone(), Instant::now());
     slot.connection().start_request();
     let response = slot.start_streaming();
     let overdue = |within| timeout(within, slot.connection().overdue());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,12 +27,12 @@
 #[doc(hidden)] // for the measurements in `tests/list_memory.rs`
 pub mod membership;
 mod names;
+mod receive_time;
 mod response_body;
 mod restored_list;
 mod send_guard;
 mod serve;
 mod shared_stream;
-mod stall_detector;
 #[doc(hidden)] // for the measurements in `tests/list_memory.rs`
 pub mod start_times;
 mod state_store;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,16 +8,15 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
-use bytes::BytesMut;
 use hollowpaddle_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
 
 use crate::http::{MAX_HEAD_BYTES, MAX_HEADER_LINES};
+use crate::receive_time::{ReceiveClock, TimedBytes};
 use crate::send_guard::SendGuard;
 use crate::shared_stream::SharedStream;
-use crate::stall_detector::StallDetector;
 
 /// The number of bytes that are read ahead at once.
 const READ_AHEAD_CHUNK: usize = 4 << 10;
@@ -41,6 +40,8 @@
     guard_to_verify: RefCell<Option<Rc<SendGuard>>>,
     /// The value of `bytes_written` at the first byte received after the guard was set.
     written_at_first_read: Cell<Option<u64>>,
+    /// When the kernel received the bytes that were read last.
+    received_at: Cell<Option<Instant>>,
 }
 
 impl Traffic {
@@ -74,6 +75,11 @@
         self.0.written_at_first_read.get()
     }
 
+    /// Returns when the kernel received the bytes that were read last, or the current time if that is not known.
+    pub fn received_at(&self) -> Instant {
+        self.0.received_at.get().unwrap_or_else(Instant::now)
+    }
+
     /// Counts bytes as handed to the kernel.
     pub fn count_written(&self, bytes: usize) {
         self.0.bytes_written.set(self.0.bytes_written.get() + bytes as u64);
@@ -90,60 +96,39 @@
 /// The head of the request on a stream, byte for byte as it was received.
 ///
 /// The HTTP library silently drops a `Content-Length` next to a `Transfer-Encoding`. Request smuggling sends both headers.
-#[derive(Clone)]
-pub struct RawHead {
-    captured: Rc<RefCell<CapturedHead>>,
-    stall_detector: Rc<StallDetector>,
-}
+#[derive(Clone, Default)]
+pub struct RawHead(Rc<RefCell<CapturedHead>>);
 
 #[derive(Default)]
 struct CapturedHead {
     bytes: Vec<u8>,
     is_paused: bool,
-    /// How long the last bytes had been received before they were read.
-    read_delay: Duration,
 }
 
 impl RawHead {
-    /// Creates an empty head for one connection.
-    pub fn new(stall_detector: &Rc<StallDetector>) -> Self {
-        Self { captured: Rc::default(), stall_detector: stall_detector.clone() }
-    }
-
-    /// Returns how long the last bytes had been received before they were read, because this process did not run.
-    pub fn read_delay(&self) -> Duration {
-        self.captured.borrow().read_delay
-    }
-
     /// Starts to capture the next head.
     pub fn start_next(&self) {
-        let mut captured = self.captured.borrow_mut();
+        let mut captured = self.0.borrow_mut();
         captured.bytes.clear();
         captured.is_paused = false;
     }
 
     /// Stops capturing until the next head.
     pub fn stop(&self) {
-        self.captured.borrow_mut().is_paused = true;
+        self.0.borrow_mut().is_paused = true;
     }
 
     fn append(&self, bytes: &[u8]) {
-        let mut captured = self.captured.borrow_mut();
+        let mut captured = self.0.borrow_mut();
         if !captured.is_paused {
             let capacity = MAX_HEAD_BYTES.saturating_sub(captured.bytes.len());
             captured.bytes.extend_from_slice(&bytes[..bytes.len().min(capacity)]);
         }
     }
 
-    fn measure_read_delay(&self, stream: &SharedStream) {
-        let since_received = || stream.borrow().since_last_bytes();
-        let read_delay = self.stall_detector.on_read(since_received);
-        self.captured.borrow_mut().read_delay = read_delay;
-    }
-
     /// Whether the captured bytes are the head of this request and specify the body's length at most once.
     pub fn has_single_length(&self, method: &str, target: &str, id: &[u8]) -> bool {
-        let captured = self.captured.borrow();
+        let captured = self.0.borrow();
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
         let mut head = httparse::Request::new(&mut headers);
         if !head.parse(&captured.bytes).is_ok_and(|status| status.is_complete()) {
@@ -163,18 +148,28 @@
 ///
 /// The library detects the client's close only if it holds no unread bytes. A single byte after a request would hide the
 /// close, and the request would be forwarded after its client has disconnected.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ReadAhead(Rc<ReadAheadState>);
 
-#[derive(Default)]
 struct ReadAheadState {
     /// The bytes to be passed to the library later, up to the size of a head.
-    bytes: RefCell<BytesMut>,
+    buffered: RefCell<TimedBytes>,
     is_request_complete: Cell<bool>,
     dropped_bytes: Cell<usize>,
+    receive_clock: ReceiveClock,
 }
 
 impl ReadAhead {
+    /// Creates an empty buffer for a connection whose bytes are timed by `receive_clock`.
+    pub fn new(receive_clock: ReceiveClock) -> Self {
+        Self(Rc::new(ReadAheadState {
+            buffered: RefCell::default(),
+            is_request_complete: Cell::new(false),
+            dropped_bytes: Cell::new(0),
+            receive_clock,
+        }))
+    }
+
     /// Records the start of a request, to which the following bytes belong.
     pub fn start_request(&self) {
         self.0.is_request_complete.set(false);
@@ -198,7 +193,7 @@
 
     /// Ready once the client has closed or reset its connection.
     pub fn poll_client_close(&self, stream: &SharedStream, cx: &mut Context<'_>) -> Poll<()> {
-        let mut buffered = self.0.bytes.borrow_mut();
+        let mut buffered = self.0.buffered.borrow_mut();
         loop {
             let capacity = MAX_HEAD_BYTES - buffered.len();
             if capacity == 0 && !self.may_drop() {
@@ -218,7 +213,7 @@
                 cx.waker().wake_by_ref();
                 return Poll::Pending;
             }
-            buffered.extend_from_slice(buf.filled());
+            buffered.push(buf.filled(), self.received_at(stream));
         }
     }
 
@@ -227,12 +222,15 @@
         self.is_request_complete() && self.0.dropped_bytes.get() < MAX_DROPPED_BYTES
     }
 
-    /// Moves bytes that were read ahead into `buf`. Returns whether there were any.
-    fn take_into(&self, buf: &mut ReadBuf<'_>) -> bool {
-        let mut buffered = self.0.bytes.borrow_mut();
-        let bytes = buffered.len().min(buf.remaining());
-        buf.put_slice(&buffered.split_to(bytes));
-        bytes > 0
+    /// Moves bytes that were read ahead and received together into `buf`. Returns when they were received; `None` if there are
+    /// no such bytes.
+    fn take_into(&self, buf: &mut ReadBuf<'_>) -> Option<Instant> {
+        self.0.buffered.borrow_mut().take_into(buf)
+    }
+
+    /// Returns when the bytes that were just read from `stream` were received.
+    fn received_at(&self, stream: &SharedStream) -> Instant {
+        self.0.receive_clock.received_at(&**stream.borrow())
     }
 }
 
@@ -240,8 +238,13 @@
 pub struct ObservedStream {
     inner: SharedStream,
     traffic: Traffic,
-    raw_head: Option<RawHead>,
-    read_ahead: Option<ReadAhead>,
+    capture: Option<Capture>,
+}
+
+/// The observers of a client's stream.
+struct Capture {
+    raw_head: RawHead,
+    read_ahead: ReadAhead,
 }
 
 impl ObservedStream {
@@ -249,19 +252,14 @@
     pub fn new(stream: Box<dyn Stream>) -> (Self, SharedStream, Traffic) {
         let inner = Rc::new(RefCell::new(stream));
         let traffic = Traffic::default();
-        let observed = Self {
-            inner: inner.clone(),
-            traffic: traffic.clone(),
-            raw_head: None,
-            read_ahead: None,
-        };
+        let observed = Self { inner: inner.clone(), traffic: traffic.clone(), capture: None };
         (observed, inner, traffic)
     }
 
     /// Captures the heads of requests in `raw_head`, and serves reads from `read_ahead` first.
     pub fn with_capture(self, raw_head: &RawHead, read_ahead: &ReadAhead) -> Self {
-        let (raw_head, read_ahead) = (Some(raw_head.clone()), Some(read_ahead.clone()));
-        Self { raw_head, read_ahead, ..self }
+        let capture = Capture { raw_head: raw_head.clone(), read_ahead: read_ahead.clone() };
+        Self { capture: Some(capture), ..self }
     }
 
     /// Checks the guard of the next write, if there is one. Bytes received before a request is written can't be its response,
@@ -295,14 +293,18 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let length_before = buf.filled().len();
-        if !self.read_ahead.as_ref().is_some_and(|read_ahead| read_ahead.take_into(buf)) {
+        let read_ahead = self.capture.as_ref().map(|capture| &capture.read_ahead);
+        let ahead_received_at = read_ahead.and_then(|read_ahead| read_ahead.take_into(buf));
+        if ahead_received_at.is_none() {
             ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf))?;
         }
         let read = &buf.filled()[length_before..];
         self.traffic.count_read(read.len());
-        if let Some(raw_head) = self.raw_head.as_ref().filter(|_| !read.is_empty()) {
-            raw_head.append(read);
-            raw_head.measure_read_delay(&self.inner);
+        if let Some(capture) = self.capture.as_ref().filter(|_| !read.is_empty()) {
+            capture.raw_head.append(read);
+            let received_at =
+                ahead_received_at.unwrap_or_else(|| capture.read_ahead.received_at(&self.inner));
+            self.traffic.0.received_at.set(Some(received_at));
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/gateway/src/stream/tests.rs
+++ b/crates/gateway/src/stream/tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn accepts_head_of_this_request_with_a_single_length() {
-    let raw = RawHead::new(&Rc::default());
+    let raw = RawHead::default();
     let is_accepted = |text: &str| {
         raw.start_next();
         // The head may arrive in several reads.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -38,8 +38,8 @@
     /// Is ready once there are unread bytes or an unread end of the stream. Reads nothing.
     fn poll_unread(&mut self, cx: &mut Context<'_>) -> Poll<()>;
 
-    /// Returns the time since the kernel received the last bytes, read or not, if that is known. A program may not have run
-    /// when the bytes arrived.
+    /// Returns the time since the kernel received the last bytes, read or not, if that is known. Without any bytes, the time
+    /// counts from the establishment of the connection. A program may not have run when the bytes arrived.
     fn since_last_bytes(&self) -> Option<Duration>;
 
     /// Resets the connection, as the kernel does when a process with unread data ends.
--- a/crates/net/src/tcp/info.rs
+++ b/crates/net/src/tcp/info.rs
@@ -4,7 +4,7 @@
 
 use tokio::net::TcpStream;
 
-/// Returns the time since the last data was received (tcp(7), `TCP_INFO`). The resolution is that of the kernel's clock, some
+/// Returns the time since the last data was received, or since the connection was established (tcp(7), `TCP_INFO`). The resolution is that of the kernel's clock, some
 /// milliseconds.
 #[cfg(target_os = "linux")]
 pub(super) fn since_last_data(stream: &TcpStream) -> Option<Duration> {
@@ -27,6 +27,10 @@
     // SAFETY: `info` was zeroed, and any bytes are a valid `tcp_info`, which consists of integers.
     #[allow(unsafe_code)]
     let info = unsafe { info.assume_init() };
+    // An emulated socket may leave all fields at zero. No state has this number.
+    if info.tcpi_state == 0 {
+        return None;
+    }
     Some(Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
 }
 
--- a/tests/node/bad_clients.rs
+++ b/tests/node/bad_clients.rs
@@ -4,8 +4,9 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use crate::start;
+use crate::{start, start_with};
 use hollowpaddle_rehearsal::scripted::*;
+use hollowpaddle_syscall_faults::{Errno, Fault, Shim};
 use serde_json::json;
 
 /// Everything that comes until the connection ends, and whether it ended in order.
@@ -126,6 +127,32 @@
     assert_eq!(first.answer().expect("an answer").status(), 200);
 }
 
+// Failure: the time within which such a client is told or closed on began when its connection was accepted.
+#[test]
+fn wait_in_the_backlog_counts_towards_the_time_of_a_client_that_sends_no_whole_request() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let shim = Shim::new().expect("a temporary file");
+    let node = start_with(&shim, &config(members(&[&upstream])));
+    shim.set(Fault::Accept(Errno::TooManyOpenFiles, 1)).expect("written");
+    // The accept that has begun before the fault still takes one connection.
+    let _accepted = node.client();
+    let whole = read("r", 5000);
+    let waiting: Vec<_> = ["", "GET /api HT", &whole[..whole.len() - 2]]
+        .into_iter()
+        .map(|start| {
+            let mut stream = TcpStream::connect(node.address).expect("the backlog has room");
+            stream.write_all(start.as_bytes()).expect("written");
+            (Instant::now(), stream)
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(1));
+    shim.set(Fault::Accept(Errno::TooManyOpenFiles, 0)).expect("written");
+    for (i, (from, mut stream)) in waiting.into_iter().enumerate() {
+        rest(&mut stream);
+        assert!(from.elapsed() < Duration::from_secs(3), "{i}: {:?}", from.elapsed());
+    }
+}
+
 #[test]
 fn who_sends_no_whole_request_is_told_or_closed_on_within_three_seconds() {
     let upstream = Upstream::start(|_| ok("ok"));
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_clients;
 mod bodies;
+mod deadlines;
 mod forms;
 mod full_table;
 mod leaving;
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -19,7 +19,7 @@
 }
 
 /// The same on a clients' socket that is handed down to it.
-fn start_on(listener: &TcpListener, config: &Value, dir: &Path) -> Node {
+pub fn start_on(listener: &TcpListener, config: &Value, dir: &Path) -> Node {
     let mut command = Command::new("sh");
     let listener = listener.try_clone().expect("a second handle");
     command.args(["-c", "exec \"$0\" 3<&0 0</dev/null", NODE]);
