--- a/crates/gateway/src/clients/accept.rs
+++ b/crates/gateway/src/clients/accept.rs
@@ -31,8 +31,8 @@
 const SHUTDOWN_POLLS_FOR_WRITES: u32 = 10;
 /// How much longer the shutdown waits for long responses that are being streamed.
 const STREAMING_SHUTDOWN_TIME: Duration = Duration::from_secs(30);
-/// Delay before the next accept while an evicted connection closes.
-const EVICTION_BACKOFF: Duration = Duration::from_millis(1);
+/// Delay before the next accept while no slot is free and no connection can be evicted.
+const NO_SLOT_BACKOFF: Duration = Duration::from_millis(1);
 /// Delay after a failed accept, so that a full descriptor table does not cause a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -43,7 +43,9 @@
     Connection,
     /// A connection was aborted before it was accepted.
     Aborted,
-    /// All slots for clients are in use. One connection was evicted, if any could be.
+    /// All slots for clients are in use, and an evicted connection is about to close.
+    Evicting,
+    /// All slots for clients are in use, and no connection can be evicted yet.
     NoSlot,
     /// The machine has no resources for another connection.
     NoResources,
@@ -54,8 +56,8 @@
     async fn back_off(self) {
         match self {
             Self::Connection => {}
-            Self::Aborted => tokio::task::yield_now().await,
-            Self::NoSlot => sleep(EVICTION_BACKOFF).await,
+            Self::Aborted | Self::Evicting => tokio::task::yield_now().await,
+            Self::NoSlot => sleep(NO_SLOT_BACKOFF).await,
             Self::NoResources => sleep(ACCEPT_BACKOFF).await,
         }
     }
@@ -150,8 +152,8 @@
     async fn accept_one(self: &Rc<Self>, backlog: &mut Backlog) -> AcceptOutcome {
         // A connection left in the backlog waits for a moment; accepted without a free slot, it would have to be dropped.
         if self.connections.is_full() {
-            self.connections.evict();
-            return AcceptOutcome::NoSlot;
+            let is_evicting = self.connections.evict();
+            return if is_evicting { AcceptOutcome::Evicting } else { AcceptOutcome::NoSlot };
         }
         match backlog.accept().await {
             Ok(accepted) => {
--- a/crates/gateway/src/clients/client_connection.rs
+++ b/crates/gateway/src/clients/client_connection.rs
@@ -19,7 +19,7 @@
 use super::ClientServer;
 use super::response::{self, ClientResponse};
 use crate::closing::{CloseReason, close, close_at_once};
-use crate::connections::{Connection, ConnectionSlot};
+use crate::connections::{Connection, ConnectionSlot, FIRST_BYTES_TIME};
 use crate::http::{MAX_HEAD_BYTES, MAX_HEADER_LINES};
 use crate::invariants::{Invariant, Violations};
 use crate::receive_time::{AcceptedConnection, HeadTime, ReceiveClock};
@@ -28,9 +28,6 @@
 use crate::stream::{ObservedStream, RawHead, ReadAhead, Traffic};
 use crate::tasks::CloseSignal;
 
-/// How long a connection without a request so far stays open after a close is requested. Clients send their first request
-/// right after connecting.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(100);
 /// How long a connection with unread bytes stays open after a close is requested, so that the bytes are read.
 const UNREAD_BYTES_TIME: Duration = Duration::from_millis(2);
 
@@ -244,7 +241,7 @@
     // Unread bytes may be a request that was sent before the client could see the close.
     let has_unread_bytes = !client.stream.borrow().is_quiet();
     if state.is_new() {
-        sleep(FIRST_REQUEST_TIME).await;
+        sleep(FIRST_BYTES_TIME).await;
     } else if has_unread_bytes {
         sleep(UNREAD_BYTES_TIME).await;
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -23,7 +23,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// An idle connection that served a request within this time is not evicted.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_secs(2);
-/// A connection that sends no complete head for this time may be evicted, since clients send a request right away.
+/// How long after connecting a client may take to send its first bytes, if its connection is to be closed otherwise. Clients
+/// send a request right away.
+pub const FIRST_BYTES_TIME: Duration = Duration::from_millis(100);
+/// A connection whose head is incomplete for this time may be evicted.
 const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 /// A client that reads nothing of a streamed response for this time counts as gone. Its connection would also keep an
 /// upstream's connection in use.
@@ -166,8 +169,11 @@
         let silent_since = |since| EvictionRank { has_served: false, since };
         let (rank, min_time) = match self.state.get() {
             State::Closing { since } => (silent_since(since), MIN_SILENCE_BEFORE_EVICTION),
-            State::New { since, head_begun } => {
-                (silent_since(head_begun.unwrap_or(since)), MIN_SILENCE_BEFORE_EVICTION)
+            State::New { since, .. } if self.traffic.bytes_read() == 0 => {
+                (silent_since(since), FIRST_BYTES_TIME)
+            }
+            State::New { head_begun, .. } => {
+                (silent_since(head_begun.unwrap_or(now)), MIN_SILENCE_BEFORE_EVICTION)
             }
             State::Idle { head_begun: Some(begun), .. } => {
                 (silent_since(begun), MIN_SILENCE_BEFORE_EVICTION)
@@ -181,6 +187,11 @@
         (now >= rank.since + min_time).then_some(rank)
     }
 
+    /// Whether bytes of the next request may have arrived that were not read yet.
+    fn has_unread_request(&self) -> bool {
+        !matches!(self.state.get(), State::Closing { .. }) && self.traffic.has_unread_bytes()
+    }
+
     fn evict(&self) {
         self.state.set(State::Evicted { head_begun: self.has_begun_head() });
         self.eviction_changed.notify_one();
@@ -351,16 +362,27 @@
     }
 
     /// Evicts one connection without an open request: the one that has sent no request for longest, otherwise the longest
-    /// idle one. Silent connections must not block all other clients.
-    pub fn evict(&self) {
+    /// idle one. Silent connections must not block all other clients. Returns whether a slot will be free once the tasks of
+    /// the connections have run.
+    pub fn evict(&self) -> bool {
         let now = Instant::now();
         let open = self.open.borrow();
-        let candidates = open
-            .values()
-            .filter_map(|connection| Some((connection.eviction_rank(now)?, connection)));
-        if let Some((_, first)) = candidates.min_by_key(|(rank, _)| *rank) {
-            first.evict();
+        if open.values().any(|connection| connection.is_evicted()) {
+            return true;
+        }
+        let mut candidates: Vec<(EvictionRank, &Rc<Connection>)> = Vec::new();
+        for connection in open.values() {
+            if let Some(rank) = connection.eviction_rank(now) {
+                candidates.push((rank, connection));
+            }
+        }
+        candidates.sort_unstable_by_key(|(rank, _)| *rank);
+        // The kernel is asked for unread bytes only until one connection has none.
+        let evicted = candidates.iter().find(|(_, connection)| !connection.has_unread_request());
+        if let Some((_, connection)) = evicted {
+            connection.evict();
         }
+        evicted.is_some()
     }
 }
 
--- a/crates/gateway/src/connections/tests.rs
+++ b/crates/gateway/src/connections/tests.rs
@@ -1,8 +1,14 @@
 //! Tests which connections are evicted, and which time out.
 
+use std::net::SocketAddr;
+
+use hollowpaddle_net::accept;
+use hollowpaddle_simnet::Fabric;
+use tokio::io::AsyncWriteExt;
 use tokio::time::{advance, timeout};
 
 use super::*;
+use crate::stream::ObservedStream;
 
 async fn is_evicted(slot: &ConnectionSlot) -> bool {
     timeout(Duration::ZERO, slot.connection().evicted()).await.is_ok()
@@ -15,14 +21,14 @@
         (0..3).map(|_| all.open(Traffic::default(), Instant::now())).collect();
     assert!(all.is_full());
     slots[0].connection().start_request();
-    all.evict();
+    assert!(!all.evict());
     assert!(
         !is_evicted(&slots[1]).await && !is_evicted(&slots[2]).await,
         "new connections have had no time to send a request"
     );
     advance(MIN_SILENCE_BEFORE_EVICTION).await;
     slots[1].finish_request();
-    all.evict();
+    assert!(all.evict());
     assert!(
         is_evicted(&slots[2]).await && !is_evicted(&slots[1]).await && !is_evicted(&slots[0]).await
     );
@@ -59,6 +65,49 @@
     assert!(!is_evicted(&slot).await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn no_second_connection_is_evicted_before_the_first_has_closed() {
+    let all = Connections::new(2, 2);
+    let now = Instant::now();
+    let mut slots = vec![
+        all.open(Traffic::default(), now),
+        all.open(Traffic::default(), now + Duration::from_millis(1)),
+    ];
+    advance(FIRST_BYTES_TIME + Duration::from_millis(1)).await;
+    assert!(all.evict() && all.evict());
+    assert!(is_evicted(&slots[0]).await && !is_evicted(&slots[1]).await);
+    slots.remove(0);
+    assert!(all.evict());
+    assert!(is_evicted(&slots[0]).await);
+}
+
+// Failure: a connection whose first request had arrived, but had not been read, counted as silent.
+#[tokio::test(start_paused = true)]
+async fn connection_with_unread_bytes_is_not_evicted() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let host = Fabric::new(Duration::ZERO, |_, _| Duration::ZERO).host(address.ip());
+    let mut listener = host.listen(address).expect("a free port");
+    let mut connect = async || {
+        let (client, accepted) = tokio::join!(host.connect(address), accept(&mut *listener));
+        (client.expect("connected"), accepted.expect("accepted").0)
+    };
+    let (mut asking_client, asking) = connect().await;
+    let (_silent_client, silent) = connect().await;
+    let (_asking_io, _asking_stream, asking) = ObservedStream::new(asking);
+    let (_silent_io, _silent_stream, silent) = ObservedStream::new(silent);
+
+    let all = Connections::new(2, 2);
+    let asking = all.open(asking, Instant::now());
+    advance(Duration::from_millis(1)).await;
+    let silent = all.open(silent, Instant::now());
+    asking_client.write_all(b"GET").await.expect("written");
+    advance(FIRST_BYTES_TIME).await;
+    assert!(all.evict());
+    assert!(is_evicted(&silent).await && !is_evicted(&asking).await);
+    drop(silent);
+    assert!(!all.evict(), "the client that asks is silent for longest");
+}
+
 // Failure: the first wait consumed the notification, so that the task that had to close the connection waited for another one.
 #[tokio::test(start_paused = true)]
 async fn eviction_completes_every_wait_for_it() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use crate::http::{MAX_HEAD_BYTES, MAX_HEADER_LINES};
 use crate::receive_time::{ReceiveClock, TimedBytes};
 use crate::send_guard::SendGuard;
-use crate::shared_stream::SharedStream;
+use crate::shared_stream::{SharedStream, WeakStream};
 
 /// The number of bytes that are read ahead at once.
 const READ_AHEAD_CHUNK: usize = 4 << 10;
@@ -30,6 +30,8 @@
 
 #[derive(Default)]
 struct TrafficState {
+    /// The stream that is counted.
+    stream: Option<WeakStream>,
     bytes_read: Cell<u64>,
     bytes_written: Cell<u64>,
     /// Whether the last write had to wait.
@@ -55,6 +57,12 @@
         self.0.bytes_written.get()
     }
 
+    /// Whether the kernel has bytes, or the end of the stream, that were not read yet.
+    pub fn has_unread_bytes(&self) -> bool {
+        let stream = self.0.stream.as_ref().and_then(WeakStream::upgrade);
+        stream.is_some_and(|stream| !stream.borrow().is_quiet())
+    }
+
     /// Whether bytes are left to be written that the kernel could not take yet.
     pub fn is_write_blocked(&self) -> bool {
         self.0.is_write_blocked.get()
@@ -251,7 +259,8 @@
     /// Wraps a stream. Returns the wrapper for the HTTP library, the shared stream for the owner, and the traffic counts.
     pub fn new(stream: Box<dyn Stream>) -> (Self, SharedStream, Traffic) {
         let inner = Rc::new(RefCell::new(stream));
-        let traffic = Traffic::default();
+        let stream = Some(Rc::downgrade(&inner));
+        let traffic = Traffic(Rc::new(TrafficState { stream, ..TrafficState::default() }));
         let observed = Self { inner: inner.clone(), traffic: traffic.clone(), capture: None };
         (observed, inner, traffic)
     }
--- a/tests/node/full_table.rs
+++ b/tests/node/full_table.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::start;
 use hollowpaddle_rehearsal::scripted::*;
@@ -17,6 +17,10 @@
 /// A final answer is owed half a second after its deadline (STANDING).
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
+/// How long a client that asks may wait for a slot: a silent client may use its slot for 0.1 s, and the rest is for a busy
+/// machine.
+const MAX_WAIT_FOR_SLOT: Duration = Duration::from_millis(600);
+
 fn small_config(upstream: &Upstream) -> Value {
     let mut config = config(members(&[upstream]));
     config["limits"]["sockets"] = json!(DESCRIPTORS);
@@ -82,3 +86,31 @@
         assert_ne!(client.join().expect("no panic"), End::Neither, "client {i}");
     }
 }
+
+// Failure: clients that asked waited in the backlog for as long as all silent ones before them together might stay silent.
+#[test]
+fn clients_that_ask_wait_behind_many_silent_ones_only_as_long_as_behind_few() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = start(&small_config(&upstream));
+    let _silent = connect_silent(&node, 10 * SLOTS);
+    assert_asking_clients_get_slots(&node);
+}
+
+/// Checks that clients that connect now are answered within [`MAX_WAIT_FOR_SLOT`].
+fn assert_asking_clients_get_slots(node: &Node) {
+    let asking: Vec<_> = (0..SLOTS / 4)
+        .map(|i| {
+            let mut stream = connect(node);
+            let deadline = Duration::from_secs(2);
+            std::thread::spawn(move || {
+                let from = Instant::now();
+                (ask(&mut stream, &format!("r{i}"), deadline), from.elapsed())
+            })
+        })
+        .collect();
+    for (i, client) in asking.into_iter().enumerate() {
+        let (end, waited) = client.join().expect("no panic");
+        assert_eq!(end, End::Answered, "client {i}");
+        assert!(waited <= MAX_WAIT_FOR_SLOT, "client {i}: {waited:?}");
+    }
+}
