--- a/crates/gateway/src/clients/client_connection.rs
+++ b/crates/gateway/src/clients/client_connection.rs
@@ -35,6 +35,7 @@
 pub(super) struct ClientStream {
     pub(super) stream: SharedStream,
     pub(super) traffic: Traffic,
+    pub(super) connection: Rc<Connection>,
     pub(super) raw_head: RawHead,
     pub(super) read_ahead: ReadAhead,
 }
@@ -81,7 +82,8 @@
         let raw_head = RawHead::default();
         let read_ahead = ReadAhead::new(ReceiveClock::new(&accepted));
         let io = io.with_capture(&raw_head, &read_ahead);
-        let client = ClientStream { stream, traffic, raw_head, read_ahead };
+        let connection = slot.share_connection();
+        let client = ClientStream { stream, traffic, connection, raw_head, read_ahead };
         tokio::task::spawn_local(self.clone().serve_and_close(io, client, slot, close_signal));
     }
 
--- a/crates/gateway/src/clients/intake.rs
+++ b/crates/gateway/src/clients/intake.rs
@@ -74,9 +74,11 @@
 
     /// Receives the body of a request to its end, or until the body is too long to be buffered.
     async fn receive(&self, body: Incoming, client: &ClientStream) -> Result<ReadyBody, BodyError> {
+        client.connection.start_body();
         let received =
-            receive_body(body, BODY_LIMITS, MAX_BUFFERED_BODY_BYTES, &self.body_memory).await?;
-        Ok(match received {
+            receive_body(body, BODY_LIMITS, MAX_BUFFERED_BODY_BYTES, &self.body_memory).await;
+        client.connection.finish_body();
+        Ok(match received? {
             ReceivedBody::Complete(body) => {
                 client.read_ahead.finish_request();
                 let length = Some(body.len() as u64);
--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -22,8 +22,8 @@
 const MAX_LINGER_BYTES: usize = 4 << 20;
 /// Delay between a crossing request and the reset, so that bytes in flight to the client arrive first.
 const RESET_DELAY: Duration = Duration::from_millis(20);
-/// The response to a head that was not complete in time.
-const HEAD_TIMEOUT_RESPONSE: &[u8] =
+/// The response to a request that was not complete in time.
+const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// The reason why this side closes a connection.
@@ -45,22 +45,22 @@
 pub enum CloseMode {
     /// After a response: further bytes are read and dropped.
     AfterResponse,
-    /// In the middle of a request's head: a timeout response is sent first, and further bytes are dropped.
-    UnfinishedHead,
+    /// In the middle of a request: a timeout response is sent first, and further bytes are dropped.
+    UnfinishedRequest,
     /// Between requests: nothing more is read.
     Idle,
 }
 
 /// Shuts down the write side of `stream`, and waits up to [`LINGER_TIME`] for the client to close its side.
 pub async fn close(stream: &SharedStream, mode: CloseMode) {
-    if mode == CloseMode::UnfinishedHead {
+    if mode == CloseMode::UnfinishedRequest {
         // The response is written completely or not at all, since this mode implies that no other bytes wait to be written.
         let response = |cx: &mut Context<'_>| poll_write_timeout_response(stream, cx);
         let _ = timeout(RESET_DELAY, poll_fn(response)).await;
     }
     let _ = poll_fn(|cx| poll_shutdown(stream, cx)).await;
     let _ = match mode {
-        CloseMode::AfterResponse | CloseMode::UnfinishedHead => {
+        CloseMode::AfterResponse | CloseMode::UnfinishedRequest => {
             timeout(LINGER_TIME, drain(stream)).await
         }
         CloseMode::Idle => timeout(LINGER_TIME, wait_for_client(stream)).await,
@@ -70,7 +70,7 @@
 /// Shuts down the write side of `stream` without waiting for the client. The caller drops the stream next.
 pub async fn close_at_once(stream: &SharedStream, mode: CloseMode) {
     poll_fn(|cx| {
-        if mode == CloseMode::UnfinishedHead {
+        if mode == CloseMode::UnfinishedRequest {
             let _ = poll_write_timeout_response(stream, cx);
         }
         let _ = poll_shutdown(stream, cx);
@@ -80,7 +80,7 @@
 }
 
 fn poll_write_timeout_response(stream: &SharedStream, cx: &mut Context<'_>) -> Poll<Result<usize>> {
-    Pin::new(&mut *stream.borrow_mut()).poll_write(cx, HEAD_TIMEOUT_RESPONSE)
+    Pin::new(&mut *stream.borrow_mut()).poll_write(cx, REQUEST_TIMEOUT_RESPONSE)
 }
 
 fn poll_shutdown(stream: &SharedStream, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -26,7 +26,7 @@
 /// How long after connecting a client may take to send its first bytes, if its connection is to be closed otherwise. Clients
 /// send a request right away.
 pub const FIRST_BYTES_TIME: Duration = Duration::from_millis(100);
-/// A connection whose head is incomplete for this time may be evicted.
+/// A connection may be evicted whose head is incomplete for this time, or on which nothing of a body came for this time.
 const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 /// A client that reads nothing of a streamed response for this time counts as gone. Its connection would also keep an
 /// upstream's connection in use.
@@ -46,6 +46,8 @@
 enum State {
     /// No request was received yet. The client is silent since `since`; `head_begun` is when the first head began.
     New { since: Instant, head_begun: Option<Instant> },
+    /// The body of a request is being received, which must be complete before the request is forwarded.
+    ReceivingBody,
     /// A request is open.
     RequestOpen,
     /// A long response is being streamed; `written` bytes were written at `since`.
@@ -54,8 +56,8 @@
     Idle { since: Instant, read: u64, head_begun: Option<Instant> },
     /// The connection is only read to its end, so that a reset does not destroy the last response.
     Closing { since: Instant },
-    /// The connection was evicted. `head_begun` is whether the next head had begun.
-    Evicted { head_begun: bool },
+    /// The connection was evicted. `request_begun` is whether a part of the next request was read.
+    Evicted { request_begun: bool },
 }
 
 /// The order of eviction: connections without a request precede idle ones, and in each group the longest waiting is first.
@@ -71,6 +73,16 @@
         self.state.set(State::RequestOpen);
     }
 
+    /// Records that the open request is forwarded only once its body is complete.
+    pub fn start_body(&self) {
+        self.state.set(State::ReceivingBody);
+    }
+
+    /// Records that the request's body is complete or will be streamed. Cancels an eviction that was not noticed yet.
+    pub fn finish_body(&self) {
+        self.state.set(State::RequestOpen);
+    }
+
     /// Records that a response announces the close of the connection.
     pub fn announce_close(&self) {
         self.is_close_announced.set(true);
@@ -78,11 +90,12 @@
 
     /// Determines how to close the connection in its current state for this reason.
     pub fn close_mode(&self, reason: CloseReason) -> CloseMode {
-        let is_answering = matches!(self.state.get(), State::RequestOpen | State::Streaming { .. });
+        let is_answering =
+            self.is_request_open() || matches!(self.state.get(), State::Streaming { .. });
         let is_exchange_over = is_answering || reason == CloseReason::ExchangeOver;
-        match (self.has_begun_head(), is_exchange_over || self.is_close_announced.get()) {
+        match (self.has_begun_request(), is_exchange_over || self.is_close_announced.get()) {
             (false, false) => CloseMode::Idle,
-            (true, false) if !self.traffic.is_write_blocked() => CloseMode::UnfinishedHead,
+            (true, false) if !self.traffic.is_write_blocked() => CloseMode::UnfinishedRequest,
             _ => CloseMode::AfterResponse,
         }
     }
@@ -97,12 +110,13 @@
         matches!(self.state.get(), State::New { .. })
     }
 
-    /// Whether a part of the next request's head was read.
-    pub fn has_begun_head(&self) -> bool {
+    /// Whether a part of the next request was read, which is not complete.
+    fn has_begun_request(&self) -> bool {
         match self.state.get() {
             State::New { .. } => self.traffic.bytes_read() > 0,
             State::Idle { read, .. } => self.traffic.bytes_read() > read,
-            State::Evicted { head_begun } => head_begun,
+            State::Evicted { request_begun } => request_begun,
+            State::ReceivingBody => true,
             State::RequestOpen | State::Streaming { .. } | State::Closing { .. } => false,
         }
     }
@@ -114,13 +128,13 @@
 
     /// Whether a request is open and its response has not begun.
     pub fn is_request_open(&self) -> bool {
-        matches!(self.state.get(), State::RequestOpen)
+        matches!(self.state.get(), State::ReceivingBody | State::RequestOpen)
     }
 
     /// Whether a request is open, or was answered so that another may follow.
     fn is_in_use(&self) -> bool {
-        let state = self.state.get();
-        matches!(state, State::RequestOpen | State::Streaming { .. } | State::Idle { .. })
+        self.is_request_open()
+            || matches!(self.state.get(), State::Streaming { .. } | State::Idle { .. })
     }
 
     /// Returns when the connection times out in its current state. Records the traffic since the last call.
@@ -134,7 +148,10 @@
                 self.state.set(State::New { since, head_begun: Some(head_begun) });
                 Some(head_begun + HEAD_TIMEOUT)
             }
-            State::RequestOpen | State::Closing { .. } | State::Evicted { .. } => None,
+            State::ReceivingBody
+            | State::RequestOpen
+            | State::Closing { .. }
+            | State::Evicted { .. } => None,
             State::Streaming { since, written } => {
                 let written_now = self.traffic.bytes_written();
                 if written_now == written {
@@ -175,6 +192,9 @@
             State::New { head_begun, .. } => {
                 (silent_since(head_begun.unwrap_or(now)), MIN_SILENCE_BEFORE_EVICTION)
             }
+            State::ReceivingBody => {
+                (silent_since(self.traffic.received_at()), MIN_SILENCE_BEFORE_EVICTION)
+            }
             State::Idle { head_begun: Some(begun), .. } => {
                 (silent_since(begun), MIN_SILENCE_BEFORE_EVICTION)
             }
@@ -193,7 +213,7 @@
     }
 
     fn evict(&self) {
-        self.state.set(State::Evicted { head_begun: self.has_begun_head() });
+        self.state.set(State::Evicted { request_begun: self.has_begun_request() });
         self.eviction_changed.notify_one();
     }
 
@@ -267,6 +287,11 @@
         &self.0.connection
     }
 
+    /// Returns a shared reference to the connection in this slot.
+    pub fn share_connection(&self) -> Rc<Connection> {
+        self.0.connection.clone()
+    }
+
     /// Returns the id of the connection, for the log.
     pub fn id(&self) -> u64 {
         self.0.id
--- a/tests/node/full_table.rs
+++ b/tests/node/full_table.rs
@@ -96,6 +96,22 @@
     assert_asking_clients_get_slots(&node);
 }
 
+// Failure: a client that stopped within its body kept its slot until the body was too late.
+#[test]
+fn clients_that_ask_wait_behind_many_that_stop_within_a_request_only_as_long_as_behind_few() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let whole = alarm("r", 5000, "a body of which a part is missing");
+    // Within the head, and within the body.
+    for sent in [30, whole.len() - 10] {
+        let node = start(&small_config(&upstream));
+        let mut stopped = connect_silent(&node, 10 * SLOTS);
+        for stream in &mut stopped {
+            stream.write_all(whole[..sent].as_bytes()).expect("written");
+        }
+        assert_asking_clients_get_slots(&node);
+    }
+}
+
 /// Checks that clients that connect now are answered within [`MAX_WAIT_FOR_SLOT`].
 fn assert_asking_clients_get_slots(node: &Node) {
     let asking: Vec<_> = (0..SLOTS / 4)
