--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -100,6 +100,26 @@
     assert_eq!(upstream.requests_so_far(), 0, "forwarded after its time");
 }
 
+// Guards against an attempt for a client that has left while its request waited in the backlog.
+#[test]
+fn request_whose_client_has_left_the_backlog_is_not_forwarded() {
+    let upstream = prompt_upstream();
+    let shim = Shim::new().expect("a temporary file");
+    let node = start_with(&shim, &config(members(&[&upstream])));
+    shim.set(Fault::Accept(Errno::TooManyOpenFiles, 1)).expect("written");
+    // The accept that has begun before the fault still takes one connection.
+    let _accepted = node.client();
+    for id in ["left-1", "left-2"] {
+        node.client().send(&read_within(id, DEADLINE));
+    }
+    let mut stays = node.client();
+    stays.send(&read_within("stays", DEADLINE));
+    shim.set(Fault::Accept(Errno::TooManyOpenFiles, 0)).expect("written");
+    assert_eq!(stays.answer().expect("an answer").status(), 200);
+    assert_eq!(upstream.request().1.header("x-request-id"), "stays");
+    assert_eq!(upstream.requests_so_far(), 0);
+}
+
 // Failure: the time of a pipelined request began when the request before it was answered, or when the client sent something
 // more.
 #[test]
--- a/tests/node/full_table.rs
+++ b/tests/node/full_table.rs
@@ -106,12 +106,32 @@
         let node = start(&small_config(&upstream));
         let mut stopped = connect_silent(&node, 10 * SLOTS);
         for stream in &mut stopped {
-            stream.write_all(whole[..sent].as_bytes()).expect("written");
+            stream.write_all(&whole.as_bytes()[..sent]).expect("written");
         }
         assert_asking_clients_get_slots(&node);
     }
 }
 
+// Guards against the loss of requests that wait in the backlog behind silent clients when the shutdown begins.
+#[test]
+fn clients_that_ask_behind_silent_ones_are_answered_at_a_shutdown() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let mut node = start(&small_config(&upstream));
+    let _silent = connect_silent(&node, 5 * SLOTS);
+    let deadline = Duration::from_secs(2);
+    let asking: Vec<_> = (0..SLOTS / 4)
+        .map(|i| {
+            let mut stream = connect(&node);
+            std::thread::spawn(move || ask(&mut stream, &format!("r{i}"), deadline))
+        })
+        .collect();
+    node.signal("TERM");
+    for (i, client) in asking.into_iter().enumerate() {
+        assert_eq!(client.join().expect("no panic"), End::Answered, "client {i}");
+    }
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 /// Checks that clients that connect now are answered within [`MAX_WAIT_FOR_SLOT`].
 fn assert_asking_clients_get_slots(node: &Node) {
     let asking: Vec<_> = (0..SLOTS / 4)
