Separate the state of one client connection from the table of connections

The state of one connection, its timeouts and its rank for eviction are in `connections/connection.rs` now; the table and its slots stay.

--- a/crates/gateway/src/connections/tests.rs
+++ b/crates/gateway/src/connections/tests.rs
@@ -1,12 +1,16 @@
 //! Tests which connections are evicted, and which time out.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hollowpaddle_net::accept;
 use hollowpaddle_simnet::Fabric;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{advance, timeout};
 
+use super::connection::{
+    CLIENT_STALL_TIMEOUT, IDLE_TIMEOUT, MIN_IDLE_BEFORE_EVICTION, MIN_SILENCE_BEFORE_EVICTION,
+};
 use super::*;
 use crate::stream::ObservedStream;
 
