--- a/tests/node/full_table.rs
+++ b/tests/node/full_table.rs
@@ -132,6 +132,38 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+// Guards against connections that keep a descriptor though nobody reads them.
+#[test]
+fn descriptors_are_released_though_no_client_closes_its_connection() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = start(&small_config(&upstream));
+    let count_descriptors = || {
+        let listed = std::fs::read_dir(format!("/proc/{}/fd", node.child.id()));
+        listed.expect("the process runs").count()
+    };
+    node.discovery.watch();
+    let baseline = count_descriptors();
+    let whole = alarm("r", 5000, "a body of which a part is missing");
+    let starts =
+        ["", &whole[..30], &whole[..whole.len() - 10], "GET / HTTP/1.1\r\nHost: a\r\n\r\n"];
+    let mut clients = Vec::new();
+    for start in starts.iter().cycle().take(3 * SLOTS) {
+        let mut stream = connect(&node);
+        // The connection may have been evicted already.
+        let _ = stream.write_all(start.as_bytes());
+        clients.push(stream);
+    }
+    let from = Instant::now();
+    while count_descriptors() < SLOTS {
+        assert!(from.elapsed() < EVENT_TIMEOUT, "the table never fills");
+    }
+    while count_descriptors() > baseline {
+        assert!(from.elapsed() < EVENT_TIMEOUT, "{} are left", count_descriptors() - baseline);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    drop(clients);
+}
+
 /// Checks that clients that connect now are answered within [`MAX_WAIT_FOR_SLOT`].
 fn assert_asking_clients_get_slots(node: &Node) {
     let asking: Vec<_> = (0..SLOTS / 4)
