--- a/crates/gateway/src/clients/intake.rs
+++ b/crates/gateway/src/clients/intake.rs
@@ -35,6 +35,9 @@
     timeout_per_byte: Duration::from_nanos(1_000_000_000 / (60 << 10)),
 };
 
+/// The least time for a body whose head waited to be read, in which the bytes that have arrived meanwhile are read.
+const MIN_BODY_TIME: Duration = Duration::from_millis(100);
+
 /// A body that is ready to be forwarded.
 struct ReadyBody {
     body: ForwardedBody,
@@ -54,7 +57,7 @@
         if let Err(error) = request_head::check(&head, &client.raw_head) {
             return response::malformed(error);
         }
-        let ready = match self.receive(body, client).await {
+        let ready = match self.receive(body, client, head_time).await {
             Ok(ready) => ready,
             Err(error) => return response::from_body_error(error),
         };
@@ -73,10 +76,15 @@
     }
 
     /// Receives the body of a request to its end, or until the body is too long to be buffered.
-    async fn receive(&self, body: Incoming, client: &ClientStream) -> Result<ReadyBody, BodyError> {
+    async fn receive(
+        &self,
+        body: Incoming,
+        client: &ClientStream,
+        head_time: HeadTime,
+    ) -> Result<ReadyBody, BodyError> {
+        let limits = limits_after_wait(head_time.wait());
         client.connection.start_body();
-        let received =
-            receive_body(body, BODY_LIMITS, MAX_BUFFERED_BODY_BYTES, &self.body_memory).await;
+        let received = receive_body(body, limits, MAX_BUFFERED_BODY_BYTES, &self.body_memory).await;
         client.connection.finish_body();
         Ok(match received? {
             ReceivedBody::Complete(body) => {
@@ -162,6 +170,12 @@
     }
 }
 
+/// Returns the limits on a body whose head waited for this time until it was read.
+fn limits_after_wait(head_wait: Duration) -> BodyLimits {
+    let time_left = BODY_LIMITS.base_timeout.saturating_sub(head_wait);
+    BodyLimits { base_timeout: time_left.max(MIN_BODY_TIME), ..BODY_LIMITS }
+}
+
 /// Whether the method, key and body of a request are valid for a class with this effect.
 fn fits_effect(effect: Effect, head: &Parts, has_no_body: bool) -> bool {
     let key = head.headers.get("idempotency-key");
--- a/crates/gateway/src/receive_time.rs
+++ b/crates/gateway/src/receive_time.rs
@@ -74,6 +74,11 @@
         Self { received_at, parsed_at: Instant::now() }
     }
 
+    /// Returns how long the head waited until it was parsed.
+    pub fn wait(self) -> Duration {
+        self.parsed_at.saturating_duration_since(self.received_at)
+    }
+
     /// Returns when the last byte of the request was received, if the bytes that were read last were received at
     /// `last_received_at`.
     ///
--- a/tests/node/bad_clients.rs
+++ b/tests/node/bad_clients.rs
@@ -136,15 +136,16 @@
     shim.set(Fault::Accept(Errno::TooManyOpenFiles, 1)).expect("written");
     // The accept that has begun before the fault still takes one connection.
     let _accepted = node.client();
-    let whole = read("r", 5000);
-    let waiting: Vec<_> = ["", "GET /api HT", &whole[..whole.len() - 2]]
-        .into_iter()
-        .map(|start| {
-            let mut stream = TcpStream::connect(node.address).expect("the backlog has room");
-            stream.write_all(start.as_bytes()).expect("written");
-            (Instant::now(), stream)
-        })
-        .collect();
+    let whole = alarm("r", 5000, "whole");
+    let waiting: Vec<_> =
+        ["", "POST /api HT", &whole[..whole.len() - 7], &whole[..whole.len() - 2]]
+            .into_iter()
+            .map(|start| {
+                let mut stream = TcpStream::connect(node.address).expect("the backlog has room");
+                stream.write_all(start.as_bytes()).expect("written");
+                (Instant::now(), stream)
+            })
+            .collect();
     std::thread::sleep(Duration::from_secs(1));
     shim.set(Fault::Accept(Errno::TooManyOpenFiles, 0)).expect("written");
     for (i, (from, mut stream)) in waiting.into_iter().enumerate() {
