Evict connections that linger behind a last response sooner where the table is full

Clients that asked waited for 2.5 s behind clients that had got a 400, ten for each slot: a closing connection lingers, and could be evicted after 0.25 s only.

Change: where all slots are in use, a closing connection can be evicted after 20 ms, the time that a response has to arrive before a reset, if its client has sent nothing for as long; after 0.25 s otherwise, as before.

Measured: `clients_that_ask_wait_behind_many_that_got_an_error_only_as_long_as_behind_few` fails on (2.5 s) and passes; all 88 tests of tests/node and 87 of the gateway's library pass.

--- a/crates/gateway/src/closing.rs
+++ b/crates/gateway/src/closing.rs
@@ -20,8 +20,8 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// The largest number of bytes that are read and dropped after the last response.
 const MAX_LINGER_BYTES: usize = 4 << 20;
-/// Delay between a crossing request and the reset, so that bytes in flight to the client arrive first.
-const RESET_DELAY: Duration = Duration::from_millis(20);
+/// Delay between the last bytes to a client and a possible reset, so that bytes in flight to the client arrive first.
+pub const RESET_DELAY: Duration = Duration::from_millis(20);
 /// The response to a request that was not complete in time.
 const REQUEST_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -156,8 +156,8 @@
             }
         }
         candidates.sort_unstable_by_key(|(rank, _)| *rank);
-        // The kernel is asked for unread bytes only until one connection has none.
-        let evicted = candidates.iter().find(|(_, connection)| !connection.has_unread_request());
+        // The kernel is asked only until one client does not send.
+        let evicted = candidates.iter().find(|(_, connection)| !connection.is_receiving(now));
         if let Some((_, connection)) = evicted {
             connection.evict();
         }
--- a/crates/gateway/src/connections/connection.rs
+++ b/crates/gateway/src/connections/connection.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
-use crate::closing::{CloseMode, CloseReason};
+use crate::closing::{CloseMode, CloseReason, RESET_DELAY};
 use crate::stream::Traffic;
 
 /// How long after connecting a client may take to start its first head, and how long after its first byte a head may take
@@ -23,7 +23,8 @@
 /// How long after connecting a client may take to send its first bytes, if its connection is to be closed otherwise. Clients
 /// send a request right away.
 pub const FIRST_BYTES_TIME: Duration = Duration::from_millis(100);
-/// A connection may be evicted whose head is incomplete for this time, or on which nothing of a body came for this time.
+/// A connection may be evicted whose head is incomplete for this time, on which nothing of a body came for this time, or whose
+/// client goes on sending for this time behind its last response.
 pub(super) const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(250);
 /// A client that reads nothing of a streamed response for this time counts as gone. Its connection would also keep an
 /// upstream's connection in use.
@@ -209,7 +210,7 @@
     pub(super) fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
         let silent_since = |since| EvictionRank { has_served: false, since };
         let (rank, min_time) = match self.state.get() {
-            State::Closing { since } => (silent_since(since), MIN_SILENCE_BEFORE_EVICTION),
+            State::Closing { since } => (silent_since(since), RESET_DELAY),
             State::New { since, .. } if self.traffic.bytes_read() == 0 => {
                 (silent_since(since), FIRST_BYTES_TIME)
             }
@@ -231,9 +232,17 @@
         (now >= rank.since + min_time).then_some(rank)
     }
 
-    /// Whether bytes of the next request may have arrived that were not read yet.
-    pub(super) fn has_unread_request(&self) -> bool {
-        !matches!(self.state.get(), State::Closing { .. }) && self.traffic.has_unread_bytes()
+    /// Whether the client is sending: bytes of its next request that were not read yet, or bytes behind the last response. A
+    /// reset in answer to the latter could destroy that response.
+    pub(super) fn is_receiving(&self, now: Instant) -> bool {
+        match self.state.get() {
+            State::Closing { since } => {
+                let is_recent = |wait| wait < RESET_DELAY;
+                now < since + MIN_SILENCE_BEFORE_EVICTION
+                    && self.traffic.since_last_bytes().is_some_and(is_recent)
+            }
+            _ => self.traffic.has_unread_bytes(),
+        }
     }
 
     pub(super) fn evict(&self) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use hollowpaddle_net::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -59,8 +60,16 @@
 
     /// Whether the kernel has bytes, or the end of the stream, that were not read yet.
     pub fn has_unread_bytes(&self) -> bool {
-        let stream = self.0.stream.as_ref().and_then(WeakStream::upgrade);
-        stream.is_some_and(|stream| !stream.borrow().is_quiet())
+        self.stream().is_some_and(|stream| !stream.borrow().is_quiet())
+    }
+
+    /// Returns the time since the kernel received the last bytes, read or not, if that is known.
+    pub fn since_last_bytes(&self) -> Option<Duration> {
+        self.stream().and_then(|stream| stream.borrow().since_last_bytes())
+    }
+
+    fn stream(&self) -> Option<SharedStream> {
+        self.0.stream.as_ref().and_then(WeakStream::upgrade)
     }
 
     /// Whether bytes are left to be written that the kernel could not take yet.
--- a/tests/node/full_table.rs
+++ b/tests/node/full_table.rs
@@ -164,6 +164,19 @@
     drop(clients);
 }
 
+// Failure: the closes behind errors kept their slots, one tableful after the other.
+#[test]
+fn clients_that_ask_wait_behind_many_that_got_an_error_only_as_long_as_behind_few() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = start(&small_config(&upstream));
+    let mut wrong = connect_silent(&node, 10 * SLOTS);
+    for stream in &mut wrong {
+        // The connection may have been evicted already.
+        let _ = stream.write_all(b"NO REQUEST\r\n\r\n");
+    }
+    assert_asking_clients_get_slots(&node);
+}
+
 /// Checks that clients that connect now are answered within [`MAX_WAIT_FOR_SLOT`].
 fn assert_asking_clients_get_slots(node: &Node) {
     let asking: Vec<_> = (0..SLOTS / 4)
