Review case 6: a keyed request loses its key and takes effect twice

A client names Idempotency-Key in its Connection header. The balancer takes the request as a keyed one, forwards it without the key, and repeats it at another upstream of the pod after its connection broke.

--- /dev/null
+++ b/review/standins-2/src/cases/mod.rs
@@ -0,0 +1,20 @@
+//! The cases, one module each.
+
+mod removed_key;
+
+use std::io::Result;
+
+use crate::Verdict;
+use crate::world::World;
+
+/// Runs a case, with or without its disruption.
+pub type Case = fn(&World, bool) -> Result<Verdict>;
+
+/// Returns the case of this name.
+pub fn find(name: &str) -> Option<Case> {
+    let case: Case = match name {
+        "removed-key" => removed_key::run,
+        _ => return None,
+    };
+    Some(case)
+}
