--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, one module each.
 
+mod crowded_discovery;
 mod removed_key;
 
 use std::io::Result;
@@ -14,6 +15,7 @@
 pub fn find(name: &str) -> Option<Case> {
     let case: Case = match name {
         "removed-key" => removed_key::run,
+        "crowded-discovery" => crowded_discovery::run,
         _ => return None,
     };
     Some(case)
