--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, one module each.
 
 mod crowded_discovery;
+mod pipelined_burst;
 mod removed_key;
 
 use std::io::Result;
@@ -16,6 +17,7 @@
     let case: Case = match name {
         "removed-key" => removed_key::run,
         "crowded-discovery" => crowded_discovery::run,
+        "pipelined-burst" => pipelined_burst::run,
         _ => return None,
     };
     Some(case)
