--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, one module each.
 
 mod crowded_discovery;
+mod late_datagrams;
 mod pipelined_burst;
 mod removed_key;
 
@@ -17,6 +18,7 @@
     let case: Case = match name {
         "removed-key" => removed_key::run,
         "crowded-discovery" => crowded_discovery::run,
+        "late-datagrams" => late_datagrams::run,
         "pipelined-burst" => pipelined_burst::run,
         _ => return None,
     };
