--- a/review/standins-2/src/balancer.rs
+++ b/review/standins-2/src/balancer.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Error, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -43,15 +43,14 @@
         std::fs::write(&path, start.config)?;
         let temporary = start.folder.join(format!("{}.tmp", start.name));
         std::fs::create_dir_all(&temporary)?;
-        let log_path = start.folder.join(format!("{}.log", start.name));
-        let log = File::options().create(true).append(true).open(log_path)?;
+        let log =
+            File::options().create(true).append(true).open(log_path(start.folder, start.name))?;
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()?])
             .env("LB_NAME", start.name)
             .env("LB_LISTEN", start.listen.to_string())
             .env("LB_DISCOVERY", start.discovery.to_string())
             .env("LB_CONFIG", &path)
-            .env("LB_LOG", "debug")
             .env("TMPDIR", &temporary)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -65,6 +64,12 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Ends the process outright.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Whether the balancer says that it is ready.
     pub fn is_ready(&self) -> bool {
         status_of_ready(self.address) == Some(200)
@@ -88,11 +93,15 @@
 
 impl Drop for Balancer {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
+/// Returns the path of the log of all processes of the balancer with this name.
+pub fn log_path(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.log"))
+}
+
 /// Returns the status of `GET /-/ready`; `None` without an answer.
 fn status_of_ready(address: SocketAddr) -> Option<u16> {
     let mut stream = TcpStream::connect(address).ok()?;
--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -4,7 +4,7 @@
 mod late_datagrams;
 mod pipelined_burst;
 mod removed_key;
-mod slow_writers;
+mod restarted_leader;
 
 use std::io::Result;
 
@@ -21,7 +21,7 @@
         "crowded-discovery" => crowded_discovery::run,
         "late-datagrams" => late_datagrams::run,
         "pipelined-burst" => pipelined_burst::run,
-        "slow-writers" => slow_writers::run,
+        "restarted-leader" => restarted_leader::run,
         _ => return None,
     };
     Some(case)
--- a/review/standins-2/src/datagrams.rs
+++ b/review/standins-2/src/datagrams.rs
@@ -17,6 +17,15 @@
 }
 
 impl Tier {
+    /// Returns a tier whose balancers send to one another directly.
+    pub fn direct(balancers: usize) -> Result<Self> {
+        let sockets: Vec<UdpSocket> =
+            (0..balancers).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_>>()?;
+        let own: Vec<SocketAddr> =
+            sockets.iter().map(UdpSocket::local_addr).collect::<Result<_>>()?;
+        Ok(Self { peers: vec![own; balancers] })
+    }
+
     /// Opens the ways between this many balancers, on which each datagram takes `delay`.
     ///
     /// What one balancer sends to the entry of its way to another one arrives there from the entry of the way back, which
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use crate::balancer::{Balancer, Start, free_address};
+use crate::balancer::{Balancer, Start, free_address, log_path};
 use crate::config::Deployment;
 use crate::discovery::Discovery;
 use crate::record::Record;
@@ -41,6 +41,11 @@
         self.balancer_with("n0", free_address()?, &deployment)
     }
 
+    /// Returns what the balancer with this name has logged so far.
+    pub fn log(&self, name: &str) -> Result<String> {
+        std::fs::read_to_string(log_path(&self.folder, name))
+    }
+
     /// Starts a balancer of this deployment.
     pub fn balancer_with(
         &self,
