Count the buffers of slow clients' bodies, and limit clients by memory

Operators saw a process pass its memory limit under hundreds of slow clients.

Cause: what a growing body had allocated and not filled did not count, bytes of a body were read ahead a second time, and the copy of the head stayed.

Change: bodies of clients and upstreams count by capacity and grow by a quarter; no reading ahead while a body is received; the copy of the head is released once checked.

Tests of the gateway and of the daemon pass.

--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -5,11 +5,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
+/// The least growth of a body whose length is not announced, in bytes.
+const MIN_BODY_GROWTH: usize = 4 << 10;
+
 /// The memory that all bodies of one kind may use in total.
 ///
 /// The counter is atomic because `Bytes::from_owner` requires a `Send` owner; all uses are on one thread.
@@ -59,25 +62,6 @@
     }
 }
 
-/// A body that holds its reservation until its last shared copy is dropped, even by a slow reader.
-pub struct ReservedBytes {
-    body: BytesMut,
-    _reservation: MemoryReservation,
-}
-
-impl ReservedBytes {
-    /// Converts a body and its reservation to shared bytes.
-    pub fn share(body: BytesMut, reservation: MemoryReservation) -> Bytes {
-        Bytes::from_owner(Self { body, _reservation: reservation })
-    }
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
 /// The reason why a client's body was not received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -126,6 +110,58 @@
     },
 }
 
+/// A body that is being received. The reservation covers the allocated capacity, and not only the bytes received.
+pub struct GrowingBody {
+    bytes: Vec<u8>,
+    reservation: MemoryReservation,
+}
+
+impl GrowingBody {
+    /// Creates an empty body with room for `capacity` bytes, if `budget` has the memory.
+    pub fn with_capacity(capacity: usize, budget: &MemoryBudget) -> Option<Self> {
+        let reservation = budget.reserve(capacity)?;
+        Some(Self { bytes: Vec::with_capacity(capacity), reservation })
+    }
+
+    /// Returns the number of bytes received.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Appends bytes. Returns whether there was memory for them.
+    pub fn append(&mut self, data: &[u8]) -> bool {
+        let length = self.bytes.len() + data.len();
+        if length > self.bytes.capacity() && !self.grow(length) {
+            return false;
+        }
+        self.bytes.extend_from_slice(data);
+        true
+    }
+
+    /// Allocates a capacity of `length` bytes, and some more if the budget has it. Returns whether there was memory.
+    fn grow(&mut self, length: usize) -> bool {
+        let capacity = self.bytes.capacity();
+        let preferred = length.max(capacity + capacity / 4 + MIN_BODY_GROWTH);
+        let available =
+            [preferred, length].into_iter().find(|size| self.reservation.grow_to(*size));
+        let Some(size) = available else { return false };
+        self.bytes.reserve_exact(size - self.bytes.len());
+        true
+    }
+
+    /// Converts the body and its reservation to shared bytes, which hold the reservation until the last copy is dropped, even
+    /// by a slow reader.
+    pub fn share(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for GrowingBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Receives a client's body to its end, or until more than `max_buffered` bytes were received. Nothing is received of a body
 /// with a longer announced length.
 ///
@@ -149,26 +185,24 @@
     if announced > max_buffered {
         return Ok(ReceivedBody::Long { first: Bytes::new(), rest: body, length });
     }
-    let mut reservation = budget.reserve(announced).ok_or(BodyError::OutOfMemory)?;
-    let mut received = BytesMut::with_capacity(announced);
+    let mut received =
+        GrowingBody::with_capacity(announced, budget).ok_or(BodyError::OutOfMemory)?;
     loop {
         let deadline = started_at + limits.timeout_for(received.len());
         let frame = timeout_at(deadline, body.frame()).await.map_err(|_| BodyError::TooSlow)?;
         let Some(frame) = frame else {
-            return Ok(ReceivedBody::Complete(ReservedBytes::share(received, reservation)));
+            return Ok(ReceivedBody::Complete(received.share()));
         };
         let Ok(data) = frame.map_err(|_| BodyError::Malformed)?.into_data() else { continue };
         let size = received.len() + data.len();
         if size > limits.max_bytes {
             return Err(BodyError::TooLarge);
         }
-        if !reservation.grow_to(size) {
+        if !received.append(&data) {
             return Err(BodyError::OutOfMemory);
         }
-        received.extend_from_slice(&data);
         if size > max_buffered {
-            let first = ReservedBytes::share(received, reservation);
-            return Ok(ReceivedBody::Long { first, rest: body, length });
+            return Ok(ReceivedBody::Long { first: received.share(), rest: body, length });
         }
     }
 }
--- a/crates/gateway/src/clients/client_connection.rs
+++ b/crates/gateway/src/clients/client_connection.rs
@@ -225,10 +225,11 @@
     }
 }
 
-/// Completes once the client has closed its connection while its request is open.
+/// Completes once the client has closed its connection while its request is open. While a body is being received, the HTTP
+/// library reads the connection and detects the close, and bytes must not be buffered a second time.
 async fn client_disconnected(state: &Connection, client: &ClientStream) {
     poll_fn(|cx| {
-        if state.is_request_open() {
+        if state.is_request_open() && !state.is_receiving_body() {
             client.read_ahead.poll_client_close(&client.stream, cx)
         } else {
             Poll::Pending
--- a/crates/gateway/src/clients/intake.rs
+++ b/crates/gateway/src/clients/intake.rs
@@ -57,6 +57,7 @@
         if let Err(error) = request_head::check(&head, &client.raw_head) {
             return response::malformed(error);
         }
+        client.raw_head.release();
         let ready = match self.receive(body, client, head_time).await {
             Ok(ready) => ready,
             Err(error) => return response::from_body_error(error),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -28,6 +28,9 @@
 const RESERVED_FOR_STATE: usize = 2;
 /// Number of descriptors of the cluster: the socket, the thread's event queue and waker, the log and its directory.
 const RESERVED_FOR_CLUSTER: usize = 8;
+/// The memory that a client's connection may use besides its bodies, in bytes: the buffers of a head that arrives in small
+/// pieces, and its copy for the check of the body's length.
+const MEMORY_PER_CLIENT: usize = 80 << 10;
 /// Minimum number of descriptors with which a balancer can serve.
 const MIN_SOCKETS: usize = 4 * RESERVED_DESCRIPTORS;
 
@@ -204,7 +207,9 @@
         let state = if self.state_dir.is_some() { RESERVED_FOR_STATE } else { 0 };
         let cluster = if self.cluster.is_some() { RESERVED_FOR_CLUSTER } else { 0 };
         let half = (self.sockets - RESERVED_DESCRIPTORS - operators - state - cluster) / 2;
-        Budget { clients: half, idle_close_threshold: self.sockets / 4, upstreams: half }
+        let clients = half.min(self.memory / MEMORY_PER_CLIENT);
+        let idle_close_threshold = clients.min(self.sockets / 4);
+        Budget { clients, idle_close_threshold, upstreams: half }
     }
 }
 
--- a/crates/gateway/src/config/tests.rs
+++ b/crates/gateway/src/config/tests.rs
@@ -65,3 +65,13 @@
     };
     assert_eq!(cluster(without_messages, Some("perhaps")), None);
 }
+
+#[test]
+fn memory_limits_the_number_of_clients() {
+    let clients = |memory_mb: usize| {
+        let limits = json!({"memory_mb": memory_mb, "sockets": 1024});
+        parsed(|file| file["limits"] = limits.clone(), None).expect("valid").budget().clients
+    };
+    assert_eq!(clients(192), (1024 - RESERVED_DESCRIPTORS - RESERVED_FOR_CLUSTER) / 2);
+    assert_eq!(clients(32), (32 << 20) / MEMORY_PER_CLIENT);
+}
--- a/crates/gateway/src/connections/connection.rs
+++ b/crates/gateway/src/connections/connection.rs
@@ -155,6 +155,11 @@
         matches!(self.state.get(), State::ReceivingBody | State::RequestOpen)
     }
 
+    /// Whether a body is being received that must be complete before its request is forwarded.
+    pub fn is_receiving_body(&self) -> bool {
+        matches!(self.state.get(), State::ReceivingBody)
+    }
+
     /// Whether a request is open, or was answered so that another may follow.
     pub(super) fn is_in_use(&self) -> bool {
         self.is_request_open()
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -6,12 +6,12 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep, sleep};
 
-use crate::bodies::{MemoryBudget, ReservedBytes};
+use crate::bodies::{GrowingBody, MemoryBudget};
 
 /// The largest response that is buffered until it is complete, in bytes (PROTOCOL: bodies hold at most 64 KiB).
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -59,24 +59,23 @@
     }
     let announces_long = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
     let to_buffer = if announces_long { 0 } else { length.unwrap_or(0) as usize };
-    let Some(mut reservation) = budget.reserve(to_buffer) else { return ResponseStart::Unusable };
-    let mut received = BytesMut::with_capacity(to_buffer);
+    let Some(mut received) = GrowingBody::with_capacity(to_buffer, budget) else {
+        return ResponseStart::Unusable;
+    };
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return ResponseStart::Unusable };
         let Ok(data) = frame.into_data() else { continue };
         if announces_long && !data.is_empty() {
             return ResponseStart::Long { first: data, rest: body, length };
         }
-        if !reservation.grow_to(received.len() + data.len()) {
+        if !received.append(&data) {
             return ResponseStart::Unusable;
         }
-        received.extend_from_slice(&data);
         if received.len() > MAX_BUFFERED_BYTES {
-            let first = ReservedBytes::share(received, reservation);
-            return ResponseStart::Long { first, rest: body, length };
+            return ResponseStart::Long { first: received.share(), rest: body, length };
         }
     }
-    ResponseStart::Complete(ReservedBytes::share(received, reservation))
+    ResponseStart::Complete(received.share())
 }
 
 /// The body of a response to a client.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -135,6 +135,11 @@
         self.0.borrow_mut().is_paused = true;
     }
 
+    /// Releases the memory of the head, which has been checked.
+    pub fn release(&self) {
+        self.0.borrow_mut().bytes = Vec::new();
+    }
+
     fn append(&self, bytes: &[u8]) {
         let mut captured = self.0.borrow_mut();
         if !captured.is_paused {
--- a/crates/rehearsal/src/scripted.rs
+++ b/crates/rehearsal/src/scripted.rs
@@ -402,6 +402,10 @@
     pub fn send(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).expect("written");
     }
+    /// Writes a text, if the connection is open.
+    pub fn try_send(&mut self, text: &str) -> Option<()> {
+        self.0.get_mut().write_all(text.as_bytes()).ok()
+    }
     /// Writes bytes.
     pub fn send_bytes(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("written");
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_clients;
 mod bodies;
+mod client_memory;
 mod deadlines;
 mod forms;
 mod full_table;
