--- a/crates/gateway/src/clients/intake.rs
+++ b/crates/gateway/src/clients/intake.rs
@@ -62,7 +62,7 @@
             Ok(ready) => ready,
             Err(error) => return response::from_body_error(error),
         };
-        let Some(_open_id) = self.open_ids.open(&head.headers) else {
+        let Some(open_id) = self.open_ids.open(&head.headers) else {
             return response::empty(StatusCode::CONFLICT);
         };
         let has_no_body = ready.length == Some(0);
@@ -71,9 +71,15 @@
         let received_at = head_time.end_of_request(has_no_body, client.traffic.received_at());
         let arrival = match self.arrival(&head, has_no_body, received_at, &client.stream) {
             Ok(arrival) => arrival,
-            Err(error) => return response::malformed(error),
+            Err(error) => {
+                open_id.finish();
+                return response::malformed(error);
+            }
         };
-        self.forward(head, ready, arrival).await
+        // If the client disconnects, this future is dropped here.
+        let response = self.forward(head, ready, arrival).await;
+        open_id.finish();
+        response
     }
 
     /// Receives the body of a request to its end, or until the body is too long to be buffered.
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -129,6 +129,30 @@
     assert_eq!(ids(&upstream), ["last"]);
 }
 
+// Failure: the id of a request was free as soon as its client had left, and ran a second time beside the first.
+#[test]
+fn the_id_of_a_client_that_has_left_does_not_run_again() {
+    let start_upstream = || {
+        Upstream::start(|message| match message.header("x-request-id") {
+            "left" => Action::Hang,
+            _ => ok("ok"),
+        })
+    };
+    let upstreams = [start_upstream(), start_upstream()];
+    let node = start(&config(members(&upstreams.each_ref())));
+    let mut leaves = node.client();
+    leaves.send(&alarm("left", 5000, "x"));
+    let runs = || upstreams.iter().map(|upstream| ids(upstream).len()).sum::<usize>();
+    wait_for("the request is forwarded", || runs() == 1);
+    drop(leaves);
+    turns(&node);
+    let mut again = node.client();
+    again.send(&alarm("left", 500, "x"));
+    assert_eq!(again.answer().expect("an answer").status(), 409);
+    assert_eq!(runs(), 0, "the id ran again");
+    assert_eq!(node.client().ask(&alarm("other", 5000, "x")).status(), 200);
+}
+
 /// Waits until the node's machine has the close of the client at this port, or for this time.
 fn wait_for_a_close_or(node: &Node, port: u16, limit: Duration) {
     let open = (node.address.port(), ESTABLISHED);
