Count the time in which an upstream blocks a streamed body towards the deadline

Cause: the client's time began when the last byte was passed on, not when the client had written it. Evidence: what the kernel took at once was answered in time; the late ones ended at the 10 s that an upstream may read nothing, or 1 s after the last byte was passed on.

Change: from when at most 8 MiB of a body of known length are missing, waits for the upstream count. The test attempt_waits_for_upstream_to_read_then_for_response wanted 10 s of patience for the last byte of a body of 3 bytes with 1 s of time, which is this fault; it wants 1 s now, and 10 s where over 8 MiB are missing.

--- a/crates/gateway/src/engine/requests.rs
+++ b/crates/gateway/src/engine/requests.rs
@@ -98,9 +98,11 @@
         body.is_some_and(|body| body.is_started() && !body.is_complete())
     }
 
-    /// Restarts the client's timeout at the last byte of a streamed body.
+    /// Restarts the client's timeout at the last byte of a streamed body, less the time in which the upstream blocked the body.
     fn restart_deadline(&mut self) {
-        let client_deadline = Instant::now() + self.client_timeout;
+        let blocked = self.forwarded.streamed_body().map_or(Duration::ZERO, |body| body.blocked());
+        let time_left = self.client_timeout.saturating_sub(blocked).max(self.headroom);
+        let client_deadline = Instant::now() + time_left;
         self.deadline = client_deadline - self.headroom;
     }
 }
--- a/crates/gateway/src/streamed_body.rs
+++ b/crates/gateway/src/streamed_body.rs
@@ -21,6 +21,10 @@
 /// for ever.
 const UPSTREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The most bytes of a body that the systems of both sides may hold between a client and this process. From when no more
+/// are missing, the client may have written its last byte.
+const MAX_BYTES_IN_TRANSIT: u64 = 8 << 20;
+
 /// The rest of a client's body can't be received. [`StreamedBody::client_fault`] determines the response to the client.
 #[derive(Debug, thiserror::Error)]
 #[error("request body incomplete: {0:?}")]
@@ -34,6 +38,8 @@
     bytes_sent: Cell<u64>,
     /// When the upstream's connection last took a part of the body.
     last_sent_at: Cell<Option<Instant>>,
+    /// The total time of completed waits for the upstream in which the client may have written its last byte.
+    blocked: Cell<Duration>,
     completed_at: Cell<Option<Instant>>,
     client_fault: Cell<Option<BodyError>>,
     on_complete: RefCell<Option<Box<dyn FnOnce()>>>,
@@ -69,6 +75,7 @@
             length,
             bytes_sent: Cell::new(0),
             last_sent_at: Cell::new(None),
+            blocked: Cell::new(Duration::ZERO),
             completed_at: Cell::new(None),
             client_fault: Cell::new(None),
             on_complete: RefCell::new(None),
@@ -100,17 +107,45 @@
         self.client_fault.get()
     }
 
+    /// Returns how long the upstream has kept the body waiting although the client may have written its last byte. The time
+    /// counts towards the client's deadline.
+    pub fn blocked(&self) -> Duration {
+        self.blocked.get() + self.current_block()
+    }
+
+    /// Returns the part of [`Self::blocked`] since the upstream's connection last took a part of the body.
+    fn current_block(&self) -> Duration {
+        let last_sent_at = self.last_sent_at.get().filter(|_| self.counts_upstream_time());
+        last_sent_at.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// Whether the body waits for the upstream, and the client may have written its last byte.
+    fn counts_upstream_time(&self) -> bool {
+        let missing = self.length.map(|length| length.saturating_sub(self.bytes_sent.get()));
+        let may_be_written = missing.is_some_and(|missing| missing <= MAX_BYTES_IN_TRANSIT);
+        may_be_written && !self.waits_for_client() && !self.is_complete()
+    }
+
+    fn waits_for_client(&self) -> bool {
+        self.source.borrow().waiting_since.is_some()
+    }
+
     /// Computes the current deadline of an attempt that sends this body: `start_deadline` until the body is started, then
-    /// [`UPSTREAM_STALL_TIMEOUT`] for the upstream to read more, and `response_timeout` after the last byte.
+    /// [`UPSTREAM_STALL_TIMEOUT`] for the upstream to read more, and `response_timeout` after the last byte. The time in
+    /// which the upstream blocks the body counts towards `response_timeout`.
     pub fn attempt_deadline(&self, start_deadline: Instant, response_timeout: Duration) -> Instant {
+        let response_timeout = response_timeout.saturating_sub(self.blocked.get());
         if let Some(completed_at) = self.completed_at.get() {
             return completed_at + response_timeout;
         }
         let Some(last_sent_at) = self.last_sent_at.get() else { return start_deadline };
         // While the body waits for the client, only the minimum rate of the body limits the attempt.
-        let waits_for_client = self.source.borrow().waiting_since.is_some();
-        let since = if waits_for_client { Instant::now() } else { last_sent_at };
-        since + UPSTREAM_STALL_TIMEOUT
+        if self.waits_for_client() {
+            return Instant::now() + UPSTREAM_STALL_TIMEOUT;
+        }
+        let counts = self.counts_upstream_time();
+        let timeout = if counts { response_timeout } else { UPSTREAM_STALL_TIMEOUT };
+        last_sent_at + timeout.min(UPSTREAM_STALL_TIMEOUT)
     }
 
     fn complete(&self) {
@@ -138,6 +173,7 @@
         &self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteRequestBody>>> {
+        self.blocked.set(self.blocked());
         let source = &mut *self.source.borrow_mut();
         if !source.first.is_empty() {
             let first = std::mem::take(&mut source.first);
--- a/crates/gateway/src/streamed_body/tests.rs
+++ b/crates/gateway/src/streamed_body/tests.rs
@@ -66,8 +66,16 @@
     next(&body).await;
     assert_eq!(
         body.attempt_deadline(start_deadline, timeout),
+        now + timeout,
+        "the upstream reads no more, and the client may have written its last byte"
+    );
+    let length = Some(MAX_BYTES_IN_TRANSIT + 3);
+    let long = StreamedBody::new(Bytes::from_static(b"ab"), slow_body(1, 50), length, LIMITS);
+    next(&long).await;
+    assert_eq!(
+        long.attempt_deadline(start_deadline, timeout),
         now + UPSTREAM_STALL_TIMEOUT,
-        "the upstream reads no more"
+        "the upstream reads no more, and the client still writes"
     );
     next(&body).await;
     assert_eq!(
@@ -75,3 +83,29 @@
         now + Duration::from_millis(50) + timeout
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn time_in_which_the_upstream_blocks_the_body_counts_towards_the_response_timeout() {
+    let timeout = Duration::from_secs(3);
+    let body = StreamedBody::new(Bytes::from_static(b"ab"), slow_body(60, 9), Some(62), LIMITS);
+    next(&body).await.expect("more").expect("in time");
+    let deadline = Instant::now() + timeout;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(body.attempt_deadline(deadline, timeout), deadline, "blocked since the first bytes");
+    next(&body).await.expect("more").expect("in time");
+    assert_eq!(body.blocked(), Duration::from_secs(2));
+    let left = Duration::from_secs(1);
+    assert_eq!(body.attempt_deadline(deadline, timeout), Instant::now() + left);
+    while let Some(data) = next(&body).await {
+        data.expect("in time");
+    }
+    assert_eq!(body.blocked(), Duration::from_secs(2), "waits for the client do not count");
+    let completed_at = body.completed_at.get().expect("complete");
+    assert_eq!(body.attempt_deadline(deadline, timeout), completed_at + left);
+    // The client of a longer body can't have written its last byte.
+    let length = Some(MAX_BYTES_IN_TRANSIT + 3);
+    let long = StreamedBody::new(Bytes::from_static(b"ab"), slow_body(60, 9), length, LIMITS);
+    next(&long).await.expect("more").expect("in time");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(long.blocked(), Duration::ZERO);
+}
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt: sends a request at most once, immediately after its guard has allowed it, and determines the outcome.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hollowpaddle_policy::interface::Outcome;
 use http_body_util::Full;
@@ -28,6 +29,10 @@
     Ended(Outcome),
 }
 
+/// How often the deadline of an attempt is computed anew while its body is streamed: an upstream that reads slowly brings the
+/// deadline closer.
+const STREAMED_BODY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 impl Pool {
     /// Makes one attempt, within the limits of its guard. Of a long response, only the beginning has to arrive in time.
     pub async fn attempt(
@@ -40,8 +45,11 @@
         let exchange = self.exchange(forwarded, &guard, &progress);
         tokio::pin!(exchange);
         loop {
-            let deadline = attempt_deadline(forwarded, &progress, limits);
-            if let Ok(result) = timeout_at(deadline, &mut exchange).await {
+            let mut check_at = attempt_deadline(forwarded, &progress, limits);
+            if forwarded.is_body_started() {
+                check_at = check_at.min(Instant::now() + STREAMED_BODY_CHECK_INTERVAL);
+            }
+            if let Ok(result) = timeout_at(check_at, &mut exchange).await {
                 return result;
             }
             // The progress of a streamed body, or the last byte of the request, may have moved the deadline.
--- a/tests/node/bodies.rs
+++ b/tests/node/bodies.rs
@@ -86,6 +86,50 @@
     assert_eq!(upstream.requests_so_far(), 1, "it may have run");
 }
 
+/// Starts an upstream that reads `bytes_per_interval` bytes of its connections every 20 ms, and never answers.
+fn slow_reader(bytes_per_interval: usize) -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("accepted");
+            std::thread::spawn(move || {
+                let mut piece = vec![0; bytes_per_interval];
+                while let Ok(1..) = std::io::Read::read(&mut stream, &mut piece) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    address
+}
+
+// Failure: where an upstream read a long body slowly, the final answer came seconds after the client's time.
+#[test]
+fn one_that_an_upstream_reads_slowly_is_failed_in_its_time() {
+    const DEADLINE: Duration = Duration::from_secs(1);
+    // STANDING: half a second later the answer only earns nothing. The rest is for a busy machine.
+    const SLACK: Duration = Duration::from_millis(750);
+    for bytes_per_interval in [400, 4000] {
+        let address = slow_reader(bytes_per_interval);
+        let node = start(&config(vec![member("s-0", address, "SERVING")]));
+        let body = long(15 * MB / 2);
+        let mut stream = TcpStream::connect(node.address).expect("it accepts");
+        let mut writer = stream.try_clone().expect("a second handle");
+        let text =
+            head("r1", DEADLINE.as_millis() as u64, &format!("Content-Length: {}\r\n", body.len()));
+        let from = std::time::Instant::now();
+        std::thread::spawn(move || {
+            let _ = writer.write_all(text.as_bytes()).and_then(|()| writer.write_all(&body));
+        });
+        stream.set_read_timeout(Some(EVENT_TIMEOUT)).expect("a limit");
+        let count = std::io::Read::read(&mut stream, &mut [0; 4096]).expect("an answer");
+        let elapsed = from.elapsed();
+        assert!(count > 0, "closed without an answer");
+        assert!(elapsed < DEADLINE + SLACK, "{bytes_per_interval}: {elapsed:?}");
+    }
+}
+
 #[test]
 fn one_whose_upstream_breaks_off_has_not_run_and_is_not_sent_again() {
     // It takes the connection, reads the head and a little of the body, and closes it.
