--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod operators;
 mod reload;
+mod replaced;
 mod serving;
 mod spoilt;
 mod stopping;
