Give each client 96 KiB of the memory limit, since 80 KiB were not enough

Change: the table of clients has one slot for each 96 KiB of the memory limit (341 with 32 MB), and a test has 490 clients.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -30,7 +30,7 @@
 const RESERVED_FOR_CLUSTER: usize = 8;
 /// The memory that a client's connection may use besides its bodies, in bytes: the buffers of a head that arrives in small
 /// pieces, and its copy for the check of the body's length.
-const MEMORY_PER_CLIENT: usize = 80 << 10;
+const MEMORY_PER_CLIENT: usize = 96 << 10;
 /// Minimum number of descriptors with which a balancer can serve.
 const MIN_SOCKETS: usize = 4 * RESERVED_DESCRIPTORS;
 
--- a/tests/node/client_memory.rs
+++ b/tests/node/client_memory.rs
@@ -13,6 +13,8 @@
 
 const MEMORY_MB: usize = 32;
 const CLIENTS: usize = 340;
+/// As many as the descriptors allow, and more than the memory limit allows.
+const MANY_CLIENTS: usize = 490;
 /// How long the clients take for their requests, so that all are in progress at the same time.
 const SEND_TIME: Duration = Duration::from_secs(3);
 const SIDE_REQUEST_INTERVAL: Duration = Duration::from_millis(50);
@@ -45,8 +47,8 @@
     }
 }
 
-/// Has all clients send `text` behind a head of their own, `piece` bytes at a time, while another client asks. Returns the peak memory in KiB.
-fn peak_while_sending(text: &str, piece: usize) -> usize {
+/// Has this number of clients send `text` behind a head of their own, `piece` bytes at a time, while another client asks. Returns the peak memory in KiB.
+fn peak_while_sending(clients: usize, text: &str, piece: usize) -> usize {
     let upstream = Upstream::start(|_| ok("ok"));
     let mut config = config(members(&[&upstream]));
     config["limits"]["memory_mb"] = json!(MEMORY_MB);
@@ -61,7 +63,7 @@
         stream.set_nonblocking(true).expect("a socket");
         Sender { stream, text: (head(number) + text).into_bytes(), sent: 0 }
     };
-    let mut senders: Vec<Sender> = (0..CLIENTS).map(connect).collect();
+    let mut senders: Vec<Sender> = (0..clients).map(connect).collect();
     let from = Instant::now();
     let pieces = text.len().div_ceil(piece) as u32;
     for number in 1..=pieces {
@@ -117,7 +119,7 @@
 fn hundreds_of_bodies_in_small_chunks_stay_within_the_memory_limit() {
     let mut peaks = Vec::new();
     for (chunk, piece) in [(1, 512), (3, 1024), (4, 2048), (12, 4096), (16, 2048)] {
-        peaks.push((chunk, peak_while_sending(&chunked(chunk), piece)));
+        peaks.push((chunk, peak_while_sending(CLIENTS, &chunked(chunk), piece)));
     }
     println!("bytes in a chunk and peak in KiB: {peaks:?}");
     assert!(peaks.iter().all(|(_, peak)| *peak <= MEMORY_MB << 10), "{peaks:?}");
@@ -129,7 +131,18 @@
     let fields = "a:b\r\n".repeat(3000);
     let body = format!("Content-Length: 65536\r\n\r\n{}", "x".repeat(33_000));
     for (name, text, piece) in [("fields", fields, 200), ("body", body, 1024)] {
-        let peak = peak_while_sending(&text, piece);
+        let peak = peak_while_sending(CLIENTS, &text, piece);
+        println!("{name}: {peak} KiB");
+        assert!(peak <= MEMORY_MB << 10, "{name}: {peak} KiB");
+    }
+}
+
+// Failure: the table of clients had as many slots as there were descriptors for, whatever the memory limit.
+#[test]
+fn more_clients_than_the_memory_limit_has_room_for_stay_within_it() {
+    let fields = "a:b\r\n".repeat(3000);
+    for (name, text, piece) in [("chunks", chunked(12), 4096), ("fields", fields, 200)] {
+        let peak = peak_while_sending(MANY_CLIENTS, &text, piece);
         println!("{name}: {peak} KiB");
         assert!(peak <= MEMORY_MB << 10, "{name}: {peak} KiB");
     }
