--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -23,6 +23,32 @@
     (upstream, go)
 }
 
+/// A request whose client is about to leave. It waits behind one that the upstream holds.
+struct Waiting {
+    upstream: Upstream,
+    /// Has the upstream answer the first request.
+    go: Sender<()>,
+    node: Node,
+    /// The client of the first request.
+    first: Client,
+    leaves: TcpStream,
+    /// The port of `leaves`.
+    port: u16,
+}
+
+/// Sends a request that the upstream holds, and another one that waits behind it.
+fn wait_behind_first() -> Waiting {
+    let (upstream, go) = held_up();
+    let node = start(&config(members(&[&upstream])));
+    let mut first = node.client();
+    first.send(&read("first", 5500));
+    upstream.request();
+    let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+    let port = leaves.local_addr().expect("bound").port();
+    leaves.write_all(alarm("left", 5000, "x").as_bytes()).expect("written");
+    Waiting { upstream, go, node, first, leaves, port }
+}
+
 /// Two turns of the node's loop: what was there before the first answer has been looked at by the second.
 fn turns(node: &Node) {
     let mut probe = node.client();
@@ -82,14 +108,7 @@
     ];
     for (what, behind) in behind {
         for half in [false, true] {
-            let (upstream, go) = held_up();
-            let node = start(&config(members(&[&upstream])));
-            let mut first = node.client();
-            first.send(&read("first", 5500));
-            upstream.request();
-            let mut leaves = TcpStream::connect(node.address).expect("it accepts");
-            let port = leaves.local_addr().expect("bound").port();
-            leaves.write_all(alarm("left", 5000, "x").as_bytes()).expect("written");
+            let Waiting { upstream, go, node, mut first, mut leaves, port } = wait_behind_first();
             leaves.write_all(&behind).expect("written");
             // A close is told no other than the end of one's sending: see docs/design/client-disconnects.md.
             leaves.shutdown(Shutdown::Write).expect("open");
@@ -109,15 +128,8 @@
 // Failure: behind 4 MiB of unread bytes a close was not seen, and the request was forwarded after its client had left.
 #[test]
 fn a_close_is_seen_behind_more_than_the_socket_buffers_hold() {
-    let (upstream, go) = held_up();
-    let node = start(&config(members(&[&upstream])));
-    let mut first = node.client();
-    first.send(&read("first", 5500));
-    upstream.request();
-    let mut leaves = TcpStream::connect(node.address).expect("it accepts");
-    let port = leaves.local_addr().expect("bound").port();
+    let Waiting { upstream, go, node, mut first, mut leaves, port } = wait_behind_first();
     leaves.set_write_timeout(Some(Duration::from_millis(100))).expect("a limit");
-    leaves.write_all(alarm("left", 5000, "x").as_bytes()).expect("written");
     // The daemon may stop reading.
     let _ = leaves.write_all(&vec![b'x'; 24 << 20]);
     drop(leaves);
